--- /dev/null
+++ b/Libraries/LibBalance/LibBalance.h
@@ -0,0 +1,4 @@
+#pragma once
+
+#include <LibBalance/BalanceTypes.h>
+#include <LibBalance/ServiceBalancer.h>
--- /dev/null
+++ b/Libraries/LibBalance/Placement.cpp
@@ -0,0 +1,228 @@
+#include <LibBalance/ServiceBalancer.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace wigeonlift {
+
+namespace {
+
+constexpr int ProbesPerRound = 3;
+// Rounds of probes after which a request takes an upstream that isn't idle and fast.
+constexpr int RoundsForGood = 2;
+constexpr Duration RoundInterval = std::chrono::milliseconds{15};
+// Probes answer within a round trip; a request doesn't wait longer for the rest of them.
+constexpr Duration ProbePatience = std::chrono::milliseconds{6};
+// Work at an upstream whose slots are nearly all taken.
+constexpr double CrowdedFactor = 1.7;
+constexpr double GoodFactor = 1.3;
+// The way to another data centre and back.
+constexpr Duration FarCost = std::chrono::milliseconds{2};
+// Bytes between data centres are dear: the time that a near upstream may take longer, per KiB.
+constexpr Duration FarCostPerKib = std::chrono::milliseconds{2};
+constexpr double TroubleFactor = 1.0;
+// A failure of a request that can't be repeated is final.
+constexpr double TroubleFactorOnce = 3.0;
+constexpr double BytesPerKib = 1024;
+
+} // namespace
+
+Duration ServiceBalancer::work(const Request &request) const {
+  return Work.work(request.Spec.Kind, request.Spec.Objective - request.Spec.ArrivedAt);
+}
+
+bool ServiceBalancer::isLate(const Request &request, TimePoint now) const {
+  return now + work(request) > request.Spec.Objective;
+}
+
+std::vector<CallId> ServiceBalancer::inOrder(TimePoint now) const {
+  struct Place {
+    bool IsLate;
+    int Priority;
+    TimePoint ArrivedAt;
+    CallId Id;
+    auto operator<=>(const Place &) const = default;
+  };
+  std::vector<Place> places;
+  for (const CallId id : Queue) {
+    const Request &it = Requests.at(id);
+    places.push_back({isLate(it, now), it.Spec.Priority, it.Spec.ArrivedAt, id});
+  }
+  std::ranges::sort(places);
+  std::vector<CallId> order;
+  for (const Place &it : places)
+    order.push_back(it.Id);
+  return order;
+}
+
+void ServiceBalancer::pump(TimePoint now, BalanceCommands &out) {
+  if (Queue.empty())
+    return;
+  for (const CallId id : inOrder(now)) {
+    const auto it = Requests.find(id);
+    if (it != Requests.end() && it->second.IsQueued)
+      place(it->second, now, out);
+  }
+}
+
+bool ServiceBalancer::place(Request &request, TimePoint now, BalanceCommands &out) {
+  if (request.Running.empty() && now + work(request) > request.Spec.Deadline) {
+    refuse(request, request.PossibleRuns > 0 ? FailureKind::ConnectionLost : FailureKind::Overloaded,
+           now, out);
+    return true;
+  }
+  const auto found = best(request, now);
+  if (found && isGood(*found, request, now)) {
+    start(request, *found, now, out);
+    return true;
+  }
+  if (awaitsProbes(now)) {
+    request.NextRoundAt = std::max(request.NextRoundAt, now + ProbePatience);
+    return false;
+  }
+  const bool mayAsk = request.Rounds < RoundsForGood || now >= request.NextRoundAt;
+  if (mayAsk && askSome(request, now, out) > 0) {
+    ++request.Rounds;
+    request.NextRoundAt = now + (request.Rounds < RoundsForGood ? ProbePatience : RoundInterval);
+    return false;
+  }
+  if (found && isAcceptable(*found, request, now)) {
+    start(request, *found, now, out);
+    return true;
+  }
+  if (now >= request.NextRoundAt)
+    request.NextRoundAt = now + RoundInterval;
+  return false;
+}
+
+std::optional<ServiceBalancer::Candidate> ServiceBalancer::best(const Request &request,
+                                                                TimePoint now) {
+  std::optional<Candidate> result;
+  for (auto &[index, view] : Upstreams) {
+    if (!view.isFresh(now) || !mayUse(view, request, now))
+      continue;
+    const Candidate it = judge(view, request, now);
+    if (!result || it.Cost < result->Cost)
+      result = it;
+  }
+  return result;
+}
+
+bool ServiceBalancer::mayUse(const UpstreamView &view, const Request &request,
+                             TimePoint now) const {
+  const auto &tried = request.Tried;
+  return !view.isEjected(now) && std::ranges::find(tried, view.facts().Index) == tried.end();
+}
+
+ServiceBalancer::Candidate ServiceBalancer::judge(UpstreamView &view, const Request &request,
+                                                  TimePoint now) const {
+  const double slowness = view.slowness(now, TypicalSlowness);
+  const int occupied = view.occupied();
+  double expected = toSeconds(work(request)) * slowness;
+  if (occupied >= view.easySlots())
+    expected *= CrowdedFactor;
+  if (occupied >= view.slots())
+    expected *= 1.0 + (occupied - view.slots() + 1.0) / view.slots();
+  const bool isOnce = request.Spec.Class == CallClass::NonIdempotent;
+  const double trouble = view.trouble(now) * (isOnce ? TroubleFactorOnce : TroubleFactor);
+  Duration cost = fromSeconds(expected * (1 + trouble));
+  if (!view.facts().IsNear)
+    cost += FarCost + fromSeconds(toSeconds(FarCostPerKib) * Work.bytes(request.Spec.Kind) /
+                                  BytesPerKib);
+  return {.View = &view, .Expected = fromSeconds(expected), .Cost = cost};
+}
+
+bool ServiceBalancer::isGood(const Candidate &candidate, const Request &request,
+                             TimePoint) const {
+  return candidate.View->occupied() < candidate.View->easySlots() &&
+         toSeconds(candidate.Cost) <= GoodFactor * toSeconds(work(request)) + toSeconds(FarCost);
+}
+
+bool ServiceBalancer::isAcceptable(const Candidate &candidate, const Request &request,
+                                   TimePoint now) const {
+  if (request.WantsHedge)
+    return false;
+  if (candidate.View->occupied() >= candidate.View->slots())
+    return false;
+  if (now + candidate.Expected <= request.Spec.Objective)
+    return true;
+  return isLate(request, now) && candidate.View->occupied() < candidate.View->easySlots() &&
+         now + candidate.Expected <= request.Spec.Deadline;
+}
+
+void ServiceBalancer::start(Request &request, const Candidate &candidate, TimePoint now,
+                            BalanceCommands &out) {
+  const AttemptId id{++LastAttempt};
+  UpstreamView &view = *candidate.View;
+  Attempt &attempt = Attempts[id];
+  attempt.Call = request.Spec.Id;
+  attempt.Upstream = view.facts().Index;
+  attempt.StartedAt = now;
+  attempt.Slowness = view.slowness(now, TypicalSlowness);
+  attempt.IsHedge = request.WantsHedge;
+  attempt.IsRepeat = !request.Tried.empty();
+  attempt.Choice = {.Upstream = attempt.Upstream,
+                    .Occupied = view.occupied(),
+                    .Slots = view.slots(),
+                    .Slowness = attempt.Slowness,
+                    .ReportAge = view.reportAge(now),
+                    .Waited = now - request.Spec.ArrivedAt,
+                    .Attempt = static_cast<int>(request.Tried.size()) + 1,
+                    .IsHedge = attempt.IsHedge};
+  ++Counts.Attempts;
+  Counts.Hedges += attempt.IsHedge ? 1 : 0;
+  Counts.SentToSlow += attempt.Slowness > GoodFactor ? 1 : 0;
+  view.didSend(id, now);
+  request.Tried.push_back(attempt.Upstream);
+  request.Running.push_back(id);
+  request.IsQueued = false;
+  request.WantsHedge = false;
+  Queue.erase(request.Spec.Id);
+  armHedge(request, candidate, now);
+  out.push_back(SendRequest{.Attempt = id, .Call = request.Spec.Id, .Upstream = attempt.Upstream});
+}
+
+int ServiceBalancer::askSome(const Request &request, TimePoint now, BalanceCommands &out) {
+  constexpr double Spread = 0.6;
+  struct Choice {
+    double Cost;
+    UpstreamView *View;
+  };
+  std::vector<Choice> choices;
+  for (auto &[index, view] : Upstreams) {
+    if (view.Probe || view.isFresh(now) || !mayUse(view, request, now))
+      continue;
+    // VMs that know the same must not all ask, and then choose, the same upstreams.
+    const double jitter = 1 - Spread / 2 + Spread * Rng.unit();
+    choices.push_back({toSeconds(judge(view, request, now).Cost) * jitter, &view});
+  }
+  std::ranges::sort(choices, {}, &Choice::Cost);
+  int asked = 0;
+  for (const Choice &it : choices) {
+    if (asked >= ProbesPerRound || !ask(*it.View, now, out))
+      break;
+    ++asked;
+  }
+  return asked;
+}
+
+bool ServiceBalancer::ask(UpstreamView &view, TimePoint now, BalanceCommands &out) {
+  ProbeRate.refill(now);
+  if (!ProbeRate.take(now))
+    return false;
+  const ProbeId id{++LastProbe};
+  view.Probe = id;
+  view.ProbedAt = now;
+  Probes[id] = view.facts().Index;
+  ++Counts.Probes;
+  out.push_back(AskLoad{.Probe = id, .Upstream = view.facts().Index});
+  return true;
+}
+
+bool ServiceBalancer::awaitsProbes(TimePoint now) const {
+  return std::ranges::any_of(Upstreams, [&](const auto &it) {
+    return it.second.Probe && now - it.second.ProbedAt < ProbePatience;
+  });
+}
+
+} // namespace wigeonlift
--- a/Libraries/LibBase/LoadReport.h
+++ b/Libraries/LibBase/LoadReport.h
@@ -16,6 +16,8 @@
   int Queued = 0;
   int Slots = 0;
   UpstreamState State = UpstreamState::Ready;
+  /// How long work takes on the upstream's machine at present; 100 is usual.
+  int SlownessPercent = 100;
 
   bool operator==(const LoadReport &) const = default;
 
--- a/Libraries/LibBudget/LibBudget.h
+++ b/Libraries/LibBudget/LibBudget.h
@@ -5,3 +5,4 @@
 #include <LibBudget/MeasuringBudget.h>
 #include <LibBudget/ProbeShare.h>
 #include <LibBudget/RateLimit.h>
+#include <LibBudget/RepeatBudget.h>
--- /dev/null
+++ b/Libraries/LibDiscovery/LibDiscovery.h
@@ -0,0 +1,4 @@
+#pragma once
+
+#include <LibDiscovery/StoreReplica.h>
+#include <LibDiscovery/UpstreamList.h>
--- /dev/null
+++ b/Libraries/LibDiscovery/UpstreamList.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <LibBase/LibBase.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace wigeonlift {
+
+/// What an upstream published about itself.
+struct UpstreamRecord {
+  std::string Id;
+  /// Unix milliseconds of its start; tells incarnations with one id apart.
+  std::uint64_t BornMs = 0;
+  std::string Service;
+  /// `IP:PORT`.
+  std::string Address;
+  std::string DataCentre;
+  int Slots = 1;
+  bool IsDraining = false;
+  /// How much longer the upstream stays slow after its start.
+  Duration Warmup{};
+
+  bool operator==(const UpstreamRecord &) const = default;
+  bool isSameIncarnation(const UpstreamRecord &other) const {
+    return BornMs == other.BornMs && Address == other.Address && Service == other.Service;
+  }
+};
+
+/// The upstreams of all services that take new work, by what the store says.
+///
+/// An upstream whose entry is removed leaves at once. The exception are entries that lapsed while
+/// the store was away: they leave when they are still missing some time after its return.
+class UpstreamList {
+public:
+  /// An entry was written. Returns whether anything but the remaining warm-up changed.
+  bool didWrite(UpstreamRecord record, TimePoint now);
+  /// An entry was removed, or can't be read any more.
+  bool didRemove(std::string_view id, TimePoint now);
+  /// Removals from now on may be lapses, until the store is back for long enough.
+  void didLoseStore(TimePoint now);
+  void didRegainStore(TimePoint now);
+  /// Drops lapsed upstreams whose time is over. Returns whether any was dropped.
+  bool expire(TimePoint now);
+  std::optional<TimePoint> nextExpiry() const;
+
+  const std::map<std::string, UpstreamRecord, std::less<>> &upstreams() const { return Upstreams; }
+  /// Upstreams of a service that may get new work.
+  std::vector<UpstreamRecord> usable(std::string_view service) const;
+
+private:
+  std::map<std::string, UpstreamRecord, std::less<>> Upstreams;
+  /// Removed entries that may return, and until when.
+  std::map<std::string, TimePoint, std::less<>> Lapsed;
+  bool IsStoreAway = false;
+  TimePoint BackAt{};
+};
+
+} // namespace wigeonlift
--- a/Libraries/LibHttp/CallerConnection.cpp
+++ b/Libraries/LibHttp/CallerConnection.cpp
@@ -1,6 +1,7 @@
 #include <LibHttp/CallerConnection.h>
 
 #include <LibHttp/BodyReading.h>
+#include <LibHttp/Clock.h>
 #include <LibHttp/SocketOptions.h>
 
 #include <boost/asio/as_tuple.hpp>
@@ -31,13 +32,10 @@
 namespace http = boost::beast::http;
 
 constexpr auto Completion = asio::as_tuple(asio::use_awaitable);
-constexpr std::uint32_t MaxHeadBytes = 32 * 1024;
 constexpr std::size_t MaxBufferedBytes = 128 * 1024;
 constexpr std::size_t BodyStepBytes = 16 * 1024;
 // Beast reads no more at once than the buffer's free capacity. This holds most requests.
 constexpr std::size_t HeadBufferBytes = 4 * 1024;
-// Callers reuse connections for a while; each costs memory, and silent ones are found by keepalive.
-constexpr Duration IdleLimit = std::chrono::seconds{120};
 // A caller that stops in the middle of a request, or takes nothing of its answer.
 constexpr Duration ProgressLimit = std::chrono::seconds{30};
 
@@ -66,15 +64,15 @@
 
 asio::awaitable<ReadResult> CallerConnection::readHead() {
   auto &parser = Reader->Request.emplace();
-  parser.header_limit(MaxHeadBytes);
+  parser.header_limit(Limits.HeadBytes);
   parser.body_limit(std::numeric_limits<std::uint64_t>::max());
   if (Reader->Buffer.capacity() > HeadBufferBytes && Reader->Buffer.size() == 0)
     Reader->Buffer.shrink_to_fit();
   Reader->Buffer.reserve(HeadBufferBytes);
   IsIdle = true;
   DidContinue = false;
-  IdleSince = std::chrono::steady_clock::now();
-  expectWithin(IdleLimit);
+  IdleSince = bootTimeNow();
+  expectWithin(Limits.Idle);
   // Beast reports nothing before the first line is whole; a caller may stop before that.
   if (Reader->Buffer.size() == 0) {
     const auto [ec, n] =
@@ -84,7 +82,7 @@
     Reader->Buffer.commit(n);
   }
   IsIdle = false;
-  expectWithin(ProgressLimit);
+  expectWithin(Limits.Head);
   while (!parser.is_header_done()) {
     const auto [ec, n] = co_await http::async_read_some(Socket, Reader->Buffer, parser, Completion);
     if (ec && !(ec == http::error::need_buffer && parser.is_header_done()))
@@ -213,7 +211,7 @@
 }
 
 void CallerConnection::expectWithin(Duration span) {
-  ExpiresAt = std::chrono::steady_clock::now() + span;
+  ExpiresAt = bootTimeNow() + span;
 }
 
 } // namespace wigeonlift
--- a/Libraries/LibHttp/CallerConnection.h
+++ b/Libraries/LibHttp/CallerConnection.h
@@ -25,6 +25,16 @@
   TooLarge,  ///< The head or the body is over the limit.
 };
 
+/// Bounds of what a caller may send, and of how long it may take.
+struct ConnectionLimits {
+  std::uint32_t HeadBytes = 32 * 1024;
+  /// Callers reuse connections for a while; each costs memory, and silent ones are found by
+  /// keepalive.
+  Duration Idle = std::chrono::seconds{120};
+  /// For a caller that stops in the middle of a request head.
+  Duration Head = std::chrono::seconds{30};
+};
+
 /// A server connection to one caller. It carries one request at a time: pipelined requests wait
 /// unread. Every member is used on one thread; `close` makes pending operations fail.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
@@ -34,6 +44,8 @@
   CallerConnection(const CallerConnection &) = delete;
   CallerConnection &operator=(const CallerConnection &) = delete;
 
+  /// Applies to the requests that are read afterwards.
+  void setLimits(const ConnectionLimits &limits) { Limits = limits; }
   /// Waits for the head of the next request, which `head` returns until the next call.
   boost::asio::awaitable<ReadResult> readHead();
   const HttpRequestHead &head() const;
@@ -82,6 +94,7 @@
   boost::asio::ip::tcp::socket Socket;
   std::unique_ptr<Parser> Reader;
   std::function<void()> OnClose;
+  ConnectionLimits Limits;
   TimePoint ExpiresAt = TimePoint::max();
   TimePoint IdleSince{};
   bool IsIdle = true;
--- a/Libraries/LibHttp/UpstreamConnection.cpp
+++ b/Libraries/LibHttp/UpstreamConnection.cpp
@@ -1,8 +1,11 @@
 #include <LibHttp/UpstreamConnection.h>
 
 #include <LibHttp/BodyReading.h>
+#include <LibHttp/Clock.h>
 #include <LibHttp/SocketOptions.h>
 
+#include <LibBase/Text.h>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -55,7 +58,7 @@
     co_return false;
   Socket = stream.release_socket();
   setStreamOptions(Socket);
-  LastAnswer = std::chrono::steady_clock::now();
+  LastAnswer = bootTimeNow();
   co_return true;
 }
 
@@ -75,7 +78,8 @@
   co_return !ec;
 }
 
-asio::awaitable<const HttpResponseHead *> UpstreamConnection::readHead(bool isHeadRequest) {
+asio::awaitable<const HttpResponseHead *>
+UpstreamConnection::readHead(bool isHeadRequest, OpenEnd openEnd) {
   while (true) {
     auto &parser = Reader->Response.emplace();
     parser.header_limit(MaxHeadBytes);
@@ -88,7 +92,7 @@
     // Interim responses such as 100 Continue precede the final one.
     if (parser.get().result_int() < FirstFinalStatus)
       continue;
-    if (!parser.is_done() && parser.need_eof())
+    if (openEnd == OpenEnd::Refused && !parser.is_done() && parser.need_eof())
       co_return nullptr;
     co_return &parser.get().base();
   }
@@ -111,6 +115,21 @@
          Reader->Buffer.size() == 0;
 }
 
+std::optional<Duration> UpstreamConnection::announcedIdleLimit() const {
+  if (!Reader->Response)
+    return std::nullopt;
+  const std::string_view value = Reader->Response->get()[http::field::keep_alive];
+  constexpr std::string_view name = "timeout=";
+  const std::size_t n = value.find(name);
+  if (n == std::string_view::npos)
+    return std::nullopt;
+  const std::string_view rest = value.substr(n + name.size());
+  const auto seconds = parseNumber<int>(rest.substr(0, rest.find_first_of(", ;")));
+  if (!seconds || *seconds <= 0)
+    return std::nullopt;
+  return std::chrono::seconds{*seconds};
+}
+
 bool UpstreamConnection::hasPendingInput() {
   return !Socket.is_open() || wigeonlift::hasPendingInput(Socket);
 }
--- a/Libraries/LibHttp/UpstreamConnection.h
+++ b/Libraries/LibHttp/UpstreamConnection.h
@@ -9,12 +9,18 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string_view>
 
 namespace wigeonlift {
 
+/// Whether a response may end with its connection. Nothing tells the end of such a response from a
+/// close in the middle of it, other than a reset.
+enum class OpenEnd : std::uint8_t { Refused, Allowed };
+
 /// A client connection to one upstream. It carries one request at a time. Every member is used on
 /// one thread; `close` makes pending operations fail.
 class UpstreamConnection {
@@ -35,9 +41,9 @@
   boost::asio::awaitable<bool> writeMore(std::string_view body);
 
   /// Reads the head of the response, which stays valid until the next request; null when the
-  /// connection broke, the head is malformed, or nothing marks the end of the body: a body that
-  /// ends with the connection can't be told from one that breaks off.
-  boost::asio::awaitable<const HttpResponseHead *> readHead(bool isHeadRequest);
+  /// connection broke, the head is malformed, or nothing marks the end of the body where that is
+  /// refused.
+  boost::asio::awaitable<const HttpResponseHead *> readHead(bool isHeadRequest, OpenEnd openEnd = OpenEnd::Refused);
   /// Reads the next part of the body into the buffer.
   boost::asio::awaitable<BodyPart> readBody(std::span<char> buf);
   /// Whether the response has been read to its end.
@@ -45,6 +51,8 @@
 
   /// Whether the response has been read to its end and the upstream keeps the connection open.
   bool isReusable() const;
+  /// How long the upstream keeps the connection idle, if its last response says so.
+  std::optional<Duration> announcedIdleLimit() const;
   /// Whether an idle connection has anything to read, which makes it unusable.
   bool hasPendingInput();
   void close();
--- a/Libraries/LibHttp/UpstreamPool.cpp
+++ b/Libraries/LibHttp/UpstreamPool.cpp
@@ -1,5 +1,7 @@
 #include <LibHttp/UpstreamPool.h>
 
+#include <LibHttp/Clock.h>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -18,8 +20,8 @@
 constexpr Duration ProvenFor = std::chrono::seconds{2};
 // Opening takes about 1 ms in a data centre; a lost SYN is repeated after 1 s.
 constexpr Duration OpenTimeout = std::chrono::milliseconds{1500};
-// Servers commonly close connections after 60 s or more without a request.
-constexpr Duration IdleLimit = std::chrono::seconds{50};
+// Servers close idle connections at their own time; a request must not cross that.
+constexpr Duration IdleMargin = std::chrono::seconds{1};
 // An upstream that refuses connections is not asked again for a warm one until then.
 constexpr Duration WarmRetry = std::chrono::seconds{2};
 
@@ -57,7 +59,7 @@
                                                        std::shared_ptr<PoolWait> wait) {
   const auto self = shared_from_this();
   while (!wait->IsAbandoned) {
-    const auto idle = takeIdle(need, std::chrono::steady_clock::now());
+    const auto idle = takeIdle(need, bootTimeNow());
     if (idle) {
       ++Used;
       co_return ConnectionLease{self, idle};
@@ -82,7 +84,9 @@
 void UpstreamPool::release(std::shared_ptr<UpstreamConnection> connection) {
   if (!connection->isReusable())
     return discard(connection);
-  connection->didAnswer(std::chrono::steady_clock::now());
+  if (const auto announced = connection->announcedIdleLimit())
+    IdleLimit = std::max(*announced - IdleMargin, *announced / 2);
+  connection->didAnswer(bootTimeNow());
   releaseUnused(std::move(connection));
 }
 
@@ -125,6 +129,8 @@
 }
 
 std::shared_ptr<UpstreamConnection> UpstreamPool::takeIdle(ConnectionNeed need, TimePoint now) {
+  while (!Idle.empty() && now - Idle.front()->lastAnswer() > IdleLimit)
+    closeOldestIdle();
   while (!Idle.empty()) {
     // The back is the freshest, so if it isn't proven no other one is.
     if (need == ConnectionNeed::Proven && now - Idle.back()->lastAnswer() > ProvenFor)
@@ -158,7 +164,7 @@
     if (lease)
       lease.giveBackUnused();
     else
-      self->WarmAgainAt = std::chrono::steady_clock::now() + WarmRetry;
+      self->WarmAgainAt = bootTimeNow() + WarmRetry;
   };
   asio::co_spawn(Executor, run(shared_from_this()), asio::detached);
 }
--- a/Libraries/LibHttp/UpstreamPool.h
+++ b/Libraries/LibHttp/UpstreamPool.h
@@ -88,6 +88,8 @@
   std::uint64_t Opened = 0;
   std::uint64_t Failed = 0;
   bool IsRetired = false;
+  /// Servers commonly close connections after 60 s or more without a request.
+  Duration IdleLimit = std::chrono::seconds{50};
   TimePoint WarmAgainAt{};
   /// The most recently used connection is at the back and is taken first.
   std::deque<std::shared_ptr<UpstreamConnection>> Idle;
--- /dev/null
+++ b/Libraries/LibRoutes/LibRoutes.h
@@ -0,0 +1,4 @@
+#pragma once
+
+#include <LibRoutes/RoutePlan.h>
+#include <LibRoutes/RouteTable.h>
--- /dev/null
+++ b/Libraries/LibSettings/GatewaySettings.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <LibBase/LibBase.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace wigeonlift {
+
+/// Bounds that the platform sets for the fleet.
+struct FleetBounds {
+  /// Repeats a service may get in any window, as a share of the requests for it.
+  double RepeatRatio = 0.2;
+  /// Repeats beyond that share, over all VMs.
+  double RepeatExtra = 0;
+  Duration RepeatWindow = std::chrono::seconds{10};
+  /// Time between SIGTERM and SIGKILL.
+  Duration StopGrace = std::chrono::seconds{6};
+  /// Longest time for which callers may keep a directory answer.
+  Duration MaxDirectoryLifetime = std::chrono::seconds{5};
+  /// Probes an upstream and second, over all VMs.
+  double ProbesPerUpstreamSecond = 60;
+};
+
+/// Settings of one gateway daemon. Addresses are `IP:PORT`; an address that isn't served is empty.
+struct GatewaySettings {
+  std::string Name;
+  std::string DataCentre;
+  std::string Region;
+  /// This VM's own address without a port.
+  std::string Ip;
+  std::string CallersAddress;
+  std::string ReadinessAddress;
+  std::string DirectoryAddress;
+  /// Where other VMs reach this one, over TCP and UDP.
+  std::string PeerAddress;
+  std::string StoreAddress;
+  std::vector<std::string> SeedPeers;
+  int FirstInternalPort = 0;
+  /// Share of a processor core; callers are sent to VMs in proportion.
+  double CpuShare = 1;
+  /// Bandwidth of this VM's link in Mbit/s.
+  double LinkMbps = 1000;
+  int MemoryMb = 0;
+  int FileDescriptors = 1024;
+  FleetBounds Bounds;
+};
+
+} // namespace wigeonlift
--- a/Libraries/LibSettings/LibSettings.h
+++ b/Libraries/LibSettings/LibSettings.h
@@ -1,3 +1,4 @@
 #pragma once
 
 #include <LibSettings/EntrySettings.h>
+#include <LibSettings/GatewaySettings.h>
--- a/Libraries/LibTelemetry/LibTelemetry.h
+++ b/Libraries/LibTelemetry/LibTelemetry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibTelemetry/EventLog.h>
 #include <LibTelemetry/LatencyHistogram.h>
 #include <LibTelemetry/Log.h>
 #include <LibTelemetry/MetricsText.h>
--- a/Services/Entry/EntryHeaders.cpp
+++ b/Services/Entry/EntryHeaders.cpp
@@ -1,7 +1,6 @@
 #include "EntryHeaders.h"
 
-#include <boost/beast/core/string.hpp>
-#include <boost/beast/http/rfc7230.hpp>
+#include <LibHttp/LibHttp.h>
 
 #include <fmt/format.h>
 
@@ -14,42 +13,11 @@
 
 namespace http = boost::beast::http;
 
-constexpr std::array ConnectionFields{http::field::connection,
-                                      http::field::keep_alive,
-                                      http::field::proxy_connection,
-                                      http::field::te,
-                                      http::field::trailer,
-                                      http::field::transfer_encoding,
-                                      http::field::upgrade,
-                                      http::field::expect,
-                                      http::field::proxy_authorization,
-                                      http::field::proxy_authenticate};
-
 /// Fields between a caller or an upstream and this daemon alone.
 constexpr std::array OwnRequestFields{TicketHeader, ForwardedHeader, DeadlineHeader,
                                       ExtraAttemptsHeader};
 constexpr std::array OwnResponseFields{ExecutionHeader, TicketHeader, LoadHeader, RefusedHeader};
 
-bool isConnectionField(const http::fields::value_type &field, std::string_view connection) {
-  if (std::ranges::find(ConnectionFields, field.name()) != ConnectionFields.end())
-    return true;
-  return !connection.empty() && http::token_list{connection}.exists(field.name_string());
-}
-
-template <std::size_t Size>
-bool isOneOf(boost::beast::string_view name, const std::array<std::string_view, Size> &names) {
-  return std::ranges::any_of(names, [&](auto it) { return boost::beast::iequals(name, it); });
-}
-
-template <std::size_t Size>
-void copyFields(const http::fields &from, http::fields &to,
-                const std::array<std::string_view, Size> &dropped) {
-  const std::string_view connection = from[http::field::connection];
-  for (const auto &it : from)
-    if (!isConnectionField(it, connection) && !isOneOf(it.name_string(), dropped))
-      to.insert(it.name(), it.name_string(), it.value());
-}
-
 HttpResponseHead statusLine(const HttpResponseHead &response) {
   HttpResponseHead head;
   head.version(11);
@@ -65,20 +33,20 @@
   head.version(11);
   head.method_string(request.method_string());
   head.target(request.target());
-  copyFields(request, head, OwnRequestFields);
+  copyEndToEndFields(request, head, OwnRequestFields);
   return head;
 }
 
 HttpResponseHead callerHead(const HttpResponseHead &response, Execution executed) {
   HttpResponseHead head = statusLine(response);
-  copyFields(response, head, OwnResponseFields);
+  copyEndToEndFields(response, head, OwnResponseFields);
   head.set(ExecutionHeader, toString(executed));
   return head;
 }
 
 HttpResponseHead endToEndHead(const HttpResponseHead &response) {
   HttpResponseHead head = statusLine(response);
-  copyFields(response, head, std::array<std::string_view, 0>{});
+  copyEndToEndFields(response, head, {});
   return head;
 }
 
@@ -105,9 +73,4 @@
                      toString(failure.Executed));
 }
 
-std::string_view headerValue(const http::fields &fields, std::string_view name) {
-  const auto it = fields.find(name);
-  return it == fields.end() ? std::string_view{} : std::string_view{it->value()};
-}
-
 } // namespace wigeonlift
--- a/Services/Entry/EntryHeaders.h
+++ b/Services/Entry/EntryHeaders.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBase/LibBase.h>
+#include <LibHttp/EndToEndFields.h>
 #include <LibHttp/HttpMessage.h>
 
 #include <string>
@@ -34,7 +35,4 @@
 HttpResponseHead failureHead(const Failure &failure);
 std::string failureBody(const Failure &failure);
 
-/// Value of a header; empty when it is absent.
-std::string_view headerValue(const boost::beast::http::fields &fields, std::string_view name);
-
 } // namespace wigeonlift
--- /dev/null
+++ b/Services/Gateway/CallerSession.cpp
@@ -0,0 +1,255 @@
+#include "CallerSession.h"
+
+#include <platform/Platform.h>
+
+#include <boost/beast/core/string.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace wigeonlift {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+// Callers without a deadline of their own on a route without a timeout.
+constexpr Duration DefaultDeadline = std::chrono::seconds{30};
+// The way of the answer to the caller.
+constexpr Duration AnswerWay = std::chrono::milliseconds{10};
+// Opening a connection and sending the request, before the request arrives here.
+constexpr Duration RequestWay = std::chrono::milliseconds{24};
+constexpr Duration NoPlanRetry = std::chrono::milliseconds{300};
+constexpr std::size_t RelayBytes = 64 * 1024;
+
+constexpr int BadRequest = 400;
+constexpr int NotFound = 404;
+constexpr int BodyTooLarge = 413;
+constexpr int HeadTooLarge = 431;
+constexpr int BadGateway = 502;
+constexpr int Unavailable = 503;
+constexpr int GatewayTimeout = 504;
+
+/// Only a request that was certainly not run gets a status that says so.
+int statusOf(const Failure &failure) {
+  if (failure.Executed == Execution::NotRun)
+    return Unavailable;
+  return failure.Kind == FailureKind::DeadlineExceeded ? GatewayTimeout : BadGateway;
+}
+
+HttpResponseHead ownHead(int status) {
+  HttpResponseHead head;
+  head.version(11);
+  head.result(static_cast<unsigned>(status));
+  head.set(http::field::content_type, "application/json");
+  return head;
+}
+
+HttpRequestHead upstreamHead(const HttpRequestHead &request) {
+  constexpr std::array<std::string_view, 2> own{platform::DeadlineHeader,
+                                                platform::ExpectedUpstreamHeader};
+  HttpRequestHead head;
+  head.version(11);
+  head.method_string(request.method_string());
+  head.target(request.target());
+  copyEndToEndFields(request, head, own);
+  return head;
+}
+
+} // namespace
+
+CallerSession::CallerSession(Gateway &gateway, std::shared_ptr<CallerConnection> caller)
+    : Owner(gateway), Caller(std::move(caller)) {}
+
+asio::awaitable<void> CallerSession::run() {
+  bool mayGoOn = true;
+  while (mayGoOn) {
+    applyLimits();
+    mayGoOn = co_await serveRequest();
+  }
+}
+
+void CallerSession::applyLimits() {
+  if (!Owner.plans().inForce())
+    return;
+  const CallerLimits &limits = Owner.plans().inForce()->plan().Limits;
+  Caller->setLimits({.HeadBytes = static_cast<std::uint32_t>(limits.HeadBytes),
+                     .Idle = limits.IdleTimeout,
+                     .Head = limits.HeadTimeout});
+}
+
+asio::awaitable<bool> CallerSession::serveRequest() {
+  const ReadResult result = co_await Caller->readHead();
+  if (result == ReadResult::Closed)
+    co_return false;
+  ArrivedAt = bootTimeNow();
+  MustClose = true;
+  if (result == ReadResult::TooLarge)
+    co_return co_await reject(HeadTooLarge, "head too large");
+  if (result != ReadResult::Complete || isAmbiguous())
+    co_return co_await reject(BadRequest, "malformed request");
+  MustClose = !Caller->keepsAlive();
+  std::string callerAttempt{headerValue(Caller->head(), platform::AttemptIdHeader)};
+  if (callerAttempt.empty())
+    co_return co_await reject(BadRequest, "no attempt id");
+  const auto plan = Owner.plans().inForce();
+  if (!plan)
+    co_return co_await reject(Unavailable, "no configuration yet", NoPlanRetry);
+  const Route *route =
+      plan->find(Caller->head()[http::field::host], Caller->head().target());
+  if (!route)
+    co_return co_await reject(NotFound, "no route");
+  const Route copy = *route;
+  co_return co_await serveRouted(copy, std::move(callerAttempt));
+}
+
+bool CallerSession::isAmbiguous() const {
+  const HttpRequestHead &head = Caller->head();
+  if (head.version() < 11 || head.count(http::field::host) != 1 || !head.target().starts_with('/'))
+    return true;
+  const std::size_t lengths = head.count(http::field::content_length);
+  const std::size_t codings = head.count(http::field::transfer_encoding);
+  if (lengths > 1 || codings > 1 || (lengths == 1 && codings == 1))
+    return true;
+  return codings == 1 &&
+         !boost::beast::iequals(head[http::field::transfer_encoding], "chunked");
+}
+
+RequestSpec CallerSession::specFor(const Route &route) {
+  const auto leftMs = parseNumber<long long>(headerValue(Caller->head(), platform::DeadlineHeader));
+  const Duration left = leftMs && *leftMs >= 0 ? std::min<Duration>(std::chrono::milliseconds{*leftMs}, DefaultDeadline)
+                                               : DefaultDeadline;
+  const Duration waited = leftMs ? Owner.waitedBefore(route, left) : Duration::zero();
+  const TimePoint deadline = ArrivedAt + std::min(left - AnswerWay, route.Timeout.value_or(left));
+  const Duration target = route.TargetLatency > Duration::zero() ? route.TargetLatency : left;
+  return {.Id = Owner.nextCallId(),
+          .Class = route.Class,
+          .Kind = Owner.kindOf(route),
+          .ArrivedAt = ArrivedAt,
+          .Objective = ArrivedAt + target - RequestWay - AnswerWay - waited,
+          .Deadline = deadline,
+          .Priority = route.Priority,
+          .MaxAttempts = route.MaxAttempts,
+          .IsReturning = waited > RequestWay};
+}
+
+asio::awaitable<bool> CallerSession::serveRouted(const Route &route, std::string callerAttempt) {
+  const std::size_t maxBody = Owner.plans().inForce()->plan().Limits.BodyBytes;
+  if (Caller->bodyLength() > static_cast<std::int64_t>(maxBody)) {
+    MustClose = true;
+    co_return co_await reject(BodyTooLarge, "body too large");
+  }
+  if (Caller->awaitsContinue())
+    co_await Caller->writeContinue();
+  const RequestSpec spec = specFor(route);
+  std::string body;
+  const ReadResult result = co_await Caller->readBody(body, maxBody);
+  if (result == ReadResult::Closed)
+    co_return false;
+  if (result == ReadResult::TooLarge) {
+    MustClose = true;
+    co_return co_await reject(BodyTooLarge, "body too large");
+  }
+  auto request = std::make_shared<ProxiedRequest>(Owner.context().get_executor(), spec,
+                                                  upstreamHead(Caller->head()), std::move(body));
+  request->CallerAttempt = std::move(callerAttempt);
+  request->Route = route.Name;
+  request->Service = Owner.partFor(route);
+  const auto service = Owner.service(request->Service);
+  if (!service)
+    co_return co_await refuse(*request, {.Kind = FailureKind::NoUpstream, .RetryAfter = NoPlanRetry});
+  service->requestArrived(request);
+  Caller->watchForClose([service, id = spec.Id] { service->callerLeft(id); });
+  RequestOutcome outcome = co_await request->nextOutcome();
+  Caller->stopWatching();
+  if (std::holds_alternative<CallerGone>(outcome)) {
+    ++Owner.counts().CallersLeft;
+    co_return false;
+  }
+  if (const auto *failure = std::get_if<Failure>(&outcome))
+    co_return co_await refuse(*request, *failure);
+  ++Owner.counts().Relayed;
+  Owner.counts().Latency.record(bootTimeNow() - ArrivedAt);
+  if (auto *whole = std::get_if<WholeAnswer>(&outcome))
+    co_return co_await relay(*request, std::move(*whole));
+  co_return co_await relay(*request, std::move(std::get<OpenAnswer>(outcome)));
+}
+
+asio::awaitable<bool> CallerSession::relay(ProxiedRequest &, WholeAnswer whole) {
+  if (MustClose || Owner.isStopping())
+    whole.Head.set(http::field::connection, "close");
+  const bool isWritten = co_await Caller->write(std::move(whole.Head), whole.Body);
+  co_return isWritten && !MustClose && !Owner.isStopping();
+}
+
+asio::awaitable<bool> CallerSession::relay(ProxiedRequest &, OpenAnswer open) {
+  const bool isChunked = open.Head.find(http::field::content_length) == open.Head.end();
+  if (isChunked)
+    open.Head.set(http::field::transfer_encoding, "chunked");
+  if (MustClose || Owner.isStopping())
+    open.Head.set(http::field::connection, "close");
+  bool isWritten = co_await Caller->writeHead(std::move(open.Head)) &&
+                   co_await Caller->writePart(open.Begun, isChunked);
+  const auto connection = open.Connection->share();
+  std::vector<char> buf(RelayBytes);
+  BodyPart part;
+  while (isWritten && !part.IsLast) {
+    part = co_await connection->readBody(buf);
+    if (part.IsBroken) {
+      // The connection ends before the announced end, so the answer can't look complete.
+      ++Owner.counts().BrokenAnswers;
+      co_return false;
+    }
+    isWritten = part.Size == 0 || co_await Caller->writePart({buf.data(), part.Size}, isChunked);
+  }
+  if (isWritten && isChunked)
+    isWritten = co_await Caller->writeLastChunk();
+  if (isWritten)
+    open.Connection->giveBack();
+  co_return isWritten && !MustClose && !Owner.isStopping();
+}
+
+asio::awaitable<bool> CallerSession::refuse(const ProxiedRequest &request, const Failure &failure) {
+  const int status = statusOf(failure);
+  ++(status == Unavailable ? Owner.counts().Refused : Owner.counts().Failed);
+  Owner.log().didRefuse(request, failure, status, bootTimeNow());
+  HttpResponseHead head = ownHead(status);
+  if (status == Unavailable && failure.RetryAfter > Duration::zero())
+    head.set(http::field::retry_after, fmt::format("{:.3f}", toSeconds(failure.RetryAfter)));
+  co_return co_await answer(std::move(head),
+                            fmt::format("{{\"error\":\"{}\"}}", toString(failure.Kind)));
+}
+
+asio::awaitable<bool> CallerSession::reject(int status, std::string_view why, Duration retryAfter) {
+  ++Owner.counts().Rejected;
+  const HttpRequestHead &request = Caller->head();
+  Owner.log().didReject(headerValue(request, platform::AttemptIdHeader),
+                        request[http::field::host], request.target(), status,
+                        Owner.plans().inForce() ? Owner.plans().inForce()->plan().Version : 0);
+  HttpResponseHead head = ownHead(status);
+  if (retryAfter > Duration::zero())
+    head.set(http::field::retry_after, fmt::format("{:.3f}", toSeconds(retryAfter)));
+  if (!MustClose && Caller->hasBody()) {
+    // The next request begins after the body of this one.
+    std::string unread;
+    const std::size_t limit = Owner.plans().inForce()
+                                  ? Owner.plans().inForce()->plan().Limits.BodyBytes
+                                  : CallerLimits{}.BodyBytes;
+    MustClose = co_await Caller->readBody(unread, limit) != ReadResult::Complete;
+  }
+  co_return co_await answer(std::move(head), fmt::format("{{\"error\":\"{}\"}}", why));
+}
+
+asio::awaitable<bool> CallerSession::answer(HttpResponseHead head, std::string_view body) {
+  const bool mustClose = MustClose || Owner.isStopping();
+  if (mustClose)
+    head.set(http::field::connection, "close");
+  const bool isWritten = co_await Caller->write(std::move(head), body);
+  co_return isWritten && !mustClose;
+}
+
+} // namespace wigeonlift
--- /dev/null
+++ b/Services/Gateway/Daemon.cpp
@@ -0,0 +1,144 @@
+#include "Daemon.h"
+
+#include <platform/Platform.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <fmt/format.h>
+
+#include <csignal>
+#include <utility>
+
+namespace wigeonlift {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr auto Completion = asio::as_tuple(asio::use_awaitable);
+constexpr auto MaintenanceInterval = std::chrono::seconds{1};
+constexpr auto StopCheckInterval = std::chrono::milliseconds{100};
+// Accepted work ends this long before the process would be killed.
+constexpr Duration StopMargin = std::chrono::milliseconds{1200};
+// Answers that are on their way when the listener closes.
+constexpr Duration StopIdle = std::chrono::milliseconds{300};
+constexpr std::uint16_t MetricsPort = 9464;
+
+} // namespace
+
+Daemon::Daemon(const GatewaySettings &settings, std::string settingsFile, EventLog &log,
+               std::uint64_t seed)
+    : SettingsFile(std::move(settingsFile)), Log(log), Core(Context, settings, log, seed),
+      Store(Core, seed),
+      Callers(Context,
+              [this](std::shared_ptr<CallerConnection> caller) -> asio::awaitable<void> {
+                CallerSession session{Core, std::move(caller)};
+                co_await session.run();
+              }),
+      Readiness(Context, readinessHandler(Core)),
+      Directory(Context, directoryHandler(Core, [this](std::string_view dataCentre) {
+                  return callersAddresses(dataCentre);
+                })),
+      Operator(Context, operatorHandler(Core, Store)), Signals(Context, SIGTERM, SIGHUP) {
+  Signals.add(SIGINT);
+  SettingsText = readFile(SettingsFile).value_or("");
+}
+
+absl::Status Daemon::start() {
+  const GatewaySettings &settings = Core.settings();
+  const auto bind = [&](auto &server, const std::string &address) -> absl::Status {
+    return address.empty() ? absl::OkStatus() : server.start(*parseEndpoint(address));
+  };
+  absl::Status status = bind(Callers, settings.CallersAddress);
+  if (status.ok())
+    status = bind(Readiness, settings.ReadinessAddress);
+  if (status.ok())
+    status = bind(Directory, settings.DirectoryAddress);
+  if (status.ok())
+    status = bind(Operator, fmt::format("{}:{}", settings.Ip, MetricsPort));
+  if (!status.ok())
+    return status;
+  Store.start();
+  asio::co_spawn(Context, waitForSignals(), asio::detached);
+  asio::co_spawn(Context, maintainRegularly(), asio::detached);
+  Log.write(EventLog::Weight::Important, "started",
+            {{"dc", settings.DataCentre}, {"callers", settings.CallersAddress}});
+  Log.flush();
+  return absl::OkStatus();
+}
+
+void Daemon::run() {
+  Context.run();
+  Log.write(EventLog::Weight::Important, "stopped", {});
+  Log.flush();
+}
+
+asio::awaitable<void> Daemon::waitForSignals() {
+  while (true) {
+    const auto [ec, number] = co_await Signals.async_wait(Completion);
+    if (ec)
+      co_return;
+    if (number == SIGHUP) {
+      reload();
+      continue;
+    }
+    if (!Core.isStopping())
+      asio::co_spawn(Context, stop(), asio::detached);
+  }
+}
+
+asio::awaitable<void> Daemon::maintainRegularly() {
+  asio::steady_timer timer{Context};
+  while (true) {
+    timer.expires_after(MaintenanceInterval);
+    co_await timer.async_wait(Completion);
+    const TimePoint now = bootTimeNow();
+    Callers.closeExpired(now);
+    Core.maintain(now);
+    reload();
+  }
+}
+
+asio::awaitable<void> Daemon::stop() {
+  Core.beginStop();
+  Log.write(EventLog::Weight::Important, "stopping",
+            {{"connections", fmt::format("{}", Callers.connections())}});
+  Log.flush();
+  asio::steady_timer timer{Context};
+  timer.expires_after(Core.settings().Bounds.StopGrace - StopMargin - StopIdle);
+  co_await timer.async_wait(Completion);
+  Callers.stopAccepting();
+  const TimePoint end = bootTimeNow() + StopMargin;
+  while (Callers.connections() > 0 && bootTimeNow() < end) {
+    timer.expires_after(StopCheckInterval);
+    co_await timer.async_wait(Completion);
+    Callers.closeIdleSince(bootTimeNow() - StopIdle);
+  }
+  Context.stop();
+}
+
+void Daemon::reload() {
+  const auto text = readFile(SettingsFile);
+  if (!text || *text == SettingsText)
+    return;
+  SettingsText = *text;
+  const auto settings = platform::decodeNodeFile(*text);
+  if (!settings.ok()) {
+    Log.write(EventLog::Weight::Important, "settings_rejected",
+              {{"why", std::string{settings.status().message()}}});
+    return;
+  }
+  Core.setSettings(*settings);
+  Log.write(EventLog::Weight::Important, "settings_taken", {});
+}
+
+std::vector<std::string> Daemon::callersAddresses(std::string_view) {
+  if (!Core.isReady())
+    return {};
+  return {Core.settings().CallersAddress};
+}
+
+} // namespace wigeonlift
--- /dev/null
+++ b/Services/Gateway/Gateway.cpp
@@ -0,0 +1,164 @@
+#include "Gateway.h"
+
+#include <platform/Platform.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace wigeonlift {
+
+namespace {
+
+// Maintenance runs once a second; a longer gap means that the process stood still.
+constexpr Duration PauseLimit = std::chrono::milliseconds{2500};
+// The rest of the probes that an upstream may get is left to VMs that join unnoticed.
+constexpr double SafeProbeShare = 0.8;
+constexpr double SafeRepeatShare = 0.9;
+
+} // namespace
+
+Gateway::Gateway(boost::asio::io_context &context, const GatewaySettings &settings, EventLog &log,
+                 std::uint64_t seed)
+    : Context(context), Settings(settings), Log(log), Requests(log), Seed(seed), Rng(seed),
+      MaintainedAt(bootTimeNow()) {}
+
+void Gateway::didLearn(std::span<const StoreItem> changes, std::string_view source) {
+  const TimePoint now = bootTimeNow();
+  bool hasChanged = false;
+  for (const StoreItem &it : changes) {
+    if (it.Key == platform::ConfigurationKey) {
+      didLearnPlan(it, source);
+      hasChanged = true;
+    } else if (const auto id = platform::upstreamIdOf(it.Key)) {
+      hasChanged |= didLearnUpstream(it, *id, now);
+    }
+  }
+  if (hasChanged)
+    refreshServices();
+}
+
+void Gateway::didLearnPlan(const StoreItem &item, std::string_view source) {
+  if (item.IsRemoved)
+    return;
+  auto plan = platform::decodeConfiguration(item.Value);
+  if (!plan.ok()) {
+    Log.write(EventLog::Weight::Important, "plan_rejected",
+              {{"why", std::string{plan.status().message()}},
+               {"rev", fmt::format("{}", item.Revision)},
+               {"from", std::string{source}}});
+    return;
+  }
+  const std::uint64_t version = plan->Version;
+  const std::size_t routes = plan->Routes.size();
+  const bool isTaken = Plans.offer(*std::move(plan));
+  Log.write(EventLog::Weight::Important, isTaken ? "plan_taken" : "plan_older",
+            {{"version", fmt::format("{}", version)},
+             {"routes", fmt::format("{}", routes)},
+             {"rev", fmt::format("{}", item.Revision)},
+             {"from", std::string{source}}});
+}
+
+bool Gateway::didLearnUpstream(const StoreItem &item, std::string_view id, TimePoint now) {
+  auto record = item.IsRemoved ? std::nullopt : platform::decodeUpstream(id, item.Value);
+  if (!record) {
+    if (!Upstreams.didRemove(id, now))
+      return false;
+    Log.write(EventLog::Weight::Important, item.IsRemoved ? "upstream_gone" : "upstream_unreadable",
+              {{"up", std::string{id}}, {"rev", fmt::format("{}", item.Revision)}});
+    return true;
+  }
+  const UpstreamRecord copy = *record;
+  if (!Upstreams.didWrite(*std::move(record), now))
+    return false;
+  Log.write(EventLog::Weight::Important, copy.IsDraining ? "upstream_draining" : "upstream_ready",
+            {{"up", copy.Id},
+             {"svc", copy.Service},
+             {"addr", copy.Address},
+             {"rev", fmt::format("{}", item.Revision)}});
+  return true;
+}
+
+void Gateway::didLoseStore() {
+  Upstreams.didLoseStore(bootTimeNow());
+  Log.write(EventLog::Weight::Important, "store_lost", {});
+}
+
+void Gateway::didRegainStore() {
+  Upstreams.didRegainStore(bootTimeNow());
+  Log.write(EventLog::Weight::Important, "store_regained", {});
+}
+
+void Gateway::setSettings(const GatewaySettings &settings) {
+  Settings = settings;
+  shareBudgets();
+}
+
+void Gateway::setFleetSize(int vms) {
+  if (std::exchange(FleetSize, std::max(1, vms)) != vms)
+    shareBudgets();
+}
+
+void Gateway::refreshServices() {
+  if (!Plans.inForce())
+    return;
+  for (const ServicePlan &it : Plans.inForce()->plan().Services) {
+    auto &task = Services[it.Name];
+    if (!task)
+      task = std::make_shared<ServiceTask>(Context, it.Name, Settings.DataCentre,
+                                           Seed ^ std::hash<std::string>{}(it.Name), Requests);
+    task->setPlan(it.HealthPath, it.MaxConnections);
+  }
+  for (const auto &[name, task] : Services)
+    task->setUpstreams(Upstreams.usable(name));
+  shareBudgets();
+}
+
+void Gateway::shareBudgets() {
+  const FleetBounds &bounds = Settings.Bounds;
+  for (const auto &[name, task] : Services) {
+    task->setRepeatBounds(bounds.RepeatRatio, SafeRepeatShare * bounds.RepeatExtra / FleetSize,
+                          bounds.RepeatWindow);
+    task->setProbeRate(SafeProbeShare * bounds.ProbesPerUpstreamSecond *
+                       static_cast<double>(task->upstreams()) / FleetSize);
+  }
+}
+
+void Gateway::maintain(TimePoint now) {
+  const Duration gap = now - std::exchange(MaintainedAt, now);
+  if (gap > PauseLimit) {
+    Log.write(EventLog::Weight::Important, "paused",
+              {{"ms", fmt::format("{}", toMilliseconds(gap))}});
+    for (const auto &[name, task] : Services)
+      task->didPause();
+  }
+  if (Upstreams.expire(now))
+    refreshServices();
+  for (const auto &[name, task] : Services)
+    task->maintain(now);
+  Log.flush();
+}
+
+std::shared_ptr<ServiceTask> Gateway::service(const std::string &name) const {
+  const auto it = Services.find(name);
+  return it == Services.end() ? nullptr : it->second;
+}
+
+std::string Gateway::partFor(const Route &route) {
+  if (route.Parts.size() == 1)
+    return route.Parts.front().Service;
+  return route.Parts[Splits[route.Name].next(route, Rng.unit())].Service;
+}
+
+Duration Gateway::waitedBefore(const Route &route, Duration left) {
+  auto &longest = LongestWaits[route.Name];
+  longest = std::max(longest, left);
+  return longest - left;
+}
+
+std::uint32_t Gateway::kindOf(const Route &route) {
+  return Kinds.try_emplace(route.Name, static_cast<std::uint32_t>(Kinds.size())).first->second;
+}
+
+} // namespace wigeonlift
--- /dev/null
+++ b/Services/Gateway/Gateway.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "RequestLog.h"
+#include "ServiceTask.h"
+
+#include <LibDiscovery/LibDiscovery.h>
+#include <LibHttp/LibHttp.h>
+#include <LibRoutes/LibRoutes.h>
+#include <LibSettings/LibSettings.h>
+#include <LibTelemetry/LibTelemetry.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+
+namespace wigeonlift {
+
+/// Counts of answers, for metrics.
+struct GatewayCounts {
+  std::uint64_t Relayed = 0;
+  std::uint64_t Refused = 0;
+  std::uint64_t Failed = 0;
+  std::uint64_t Rejected = 0;
+  std::uint64_t CallersLeft = 0;
+  std::uint64_t BrokenAnswers = 0;
+  LatencyHistogram Latency;
+};
+
+/// What one gateway process knows and serves: the configuration in force, the upstreams, and a task
+/// for each service. All of it is used on one thread.
+class Gateway {
+public:
+  Gateway(boost::asio::io_context &context, const GatewaySettings &settings, EventLog &log,
+          std::uint64_t seed);
+
+  /// Takes over keys of the store that have changed.
+  void didLearn(std::span<const StoreItem> changes, std::string_view source);
+  void didLoseStore();
+  void didRegainStore();
+  void setSettings(const GatewaySettings &settings);
+  /// VMs among which the budgets of the fleet are shared.
+  void setFleetSize(int vms);
+  void beginStop() { IsStopping = true; }
+  /// Notices pauses of the process, drops what has expired and closes idle connections.
+  void maintain(TimePoint now);
+
+  const GatewaySettings &settings() const { return Settings; }
+  bool isReady() const { return Plans.inForce() && !IsStopping; }
+  bool isStopping() const { return IsStopping; }
+  const RoutePlanStore &plans() const { return Plans; }
+  /// Null when the service has never been named by a configuration.
+  std::shared_ptr<ServiceTask> service(const std::string &name) const;
+  /// The service that takes the next call of a route.
+  std::string partFor(const Route &route);
+  /// Time that the caller has already waited when its request says that it waits so much longer.
+  Duration waitedBefore(const Route &route, Duration left);
+  std::uint32_t kindOf(const Route &route);
+  CallId nextCallId() { return CallId{++LastCall}; }
+  EventLog &eventLog() { return Log; }
+  RequestLog &log() { return Requests; }
+  GatewayCounts &counts() { return Counts; }
+  boost::asio::io_context &context() { return Context; }
+  const std::map<std::string, std::shared_ptr<ServiceTask>> &services() const { return Services; }
+  const UpstreamList &upstreams() const { return Upstreams; }
+  int callers = 0;
+
+private:
+  void didLearnPlan(const StoreItem &item, std::string_view source);
+  bool didLearnUpstream(const StoreItem &item, std::string_view id, TimePoint now);
+  void refreshServices();
+  void shareBudgets();
+
+  boost::asio::io_context &Context;
+  GatewaySettings Settings;
+  EventLog &Log;
+  RequestLog Requests;
+  std::uint64_t Seed;
+  Random Rng;
+  RoutePlanStore Plans;
+  UpstreamList Upstreams;
+  std::map<std::string, std::shared_ptr<ServiceTask>> Services;
+  std::map<std::string, TrafficSplit, std::less<>> Splits;
+  std::map<std::string, Duration, std::less<>> LongestWaits;
+  std::map<std::string, std::uint32_t, std::less<>> Kinds;
+  GatewayCounts Counts;
+  std::uint64_t LastCall = 0;
+  int FleetSize = 1;
+  bool IsStopping = false;
+  TimePoint MaintainedAt{};
+};
+
+} // namespace wigeonlift
--- /dev/null
+++ b/Services/Gateway/Ports.cpp
@@ -0,0 +1,122 @@
+#include "Ports.h"
+
+#include <platform/Platform.h>
+
+#include <boost/json.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace wigeonlift {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+// Short enough that callers leave a VM that is gone soon, long enough to ask rarely.
+constexpr Duration DirectoryLifetime = std::chrono::seconds{3};
+
+HttpResponse response(http::status status, std::string body = {},
+                      std::string_view type = "application/json") {
+  HttpResponse result{status, 11};
+  result.set(http::field::content_type, type);
+  result.body() = std::move(body);
+  return result;
+}
+
+std::string metrics(Gateway &gateway, const StoreTask &store) {
+  MetricsText text;
+  const GatewayCounts &counts = gateway.counts();
+  const auto answers = [&](std::string_view outcome, std::uint64_t n) {
+    text.counter("wigeonlift_requests_total", {{"outcome", outcome}}, static_cast<double>(n));
+  };
+  answers("relayed", counts.Relayed);
+  answers("refused", counts.Refused);
+  answers("failed", counts.Failed);
+  answers("rejected", counts.Rejected);
+  answers("caller_left", counts.CallersLeft);
+  answers("broken", counts.BrokenAnswers);
+  text.histogram("wigeonlift_request_seconds", {}, counts.Latency);
+  const auto each = [&](std::string_view name, auto value) {
+    for (const auto &[service, task] : gateway.services())
+      text.counter(name, {{"service", service}}, static_cast<double>(value(*task)));
+  };
+  each("wigeonlift_attempts_total", [](const ServiceTask &it) { return it.balancer().counts().Attempts; });
+  each("wigeonlift_hedges_total", [](const ServiceTask &it) { return it.balancer().counts().Hedges; });
+  each("wigeonlift_hedge_wins_total", [](const ServiceTask &it) { return it.balancer().counts().HedgeWins; });
+  each("wigeonlift_probes_total", [](const ServiceTask &it) { return it.balancer().counts().Probes; });
+  each("wigeonlift_refusals_total", [](const ServiceTask &it) { return it.balancer().counts().Refusals; });
+  each("wigeonlift_sent_to_slow_total", [](const ServiceTask &it) { return it.balancer().counts().SentToSlow; });
+  for (const auto &[service, task] : gateway.services()) {
+    text.gauge("wigeonlift_queued", {{"service", service}}, static_cast<double>(task->balancer().queued()));
+    text.gauge("wigeonlift_running", {{"service", service}}, static_cast<double>(task->balancer().running()));
+    text.gauge("wigeonlift_upstreams", {{"service", service}}, static_cast<double>(task->upstreams()));
+  }
+  text.counter("wigeonlift_store_calls_total", {{"kind", "read"}}, static_cast<double>(store.calls().Reads));
+  text.counter("wigeonlift_store_calls_total", {{"kind", "watch"}}, static_cast<double>(store.calls().Watches));
+  text.counter("wigeonlift_store_call_failures_total", {}, static_cast<double>(store.calls().Failed));
+  text.gauge("wigeonlift_store_revision", {}, static_cast<double>(store.replica().revision()));
+  text.gauge("wigeonlift_plan_version", {},
+             gateway.plans().inForce() ? static_cast<double>(gateway.plans().inForce()->plan().Version) : 0);
+  text.counter("wigeonlift_log_lines_dropped_total", {}, static_cast<double>(gateway.eventLog().dropped()));
+  return text.text();
+}
+
+std::string stateDump(Gateway &gateway, const StoreTask &store) {
+  boost::json::object state;
+  state["name"] = gateway.settings().Name;
+  state["ready"] = gateway.isReady();
+  state["plan"] = gateway.plans().inForce() ? gateway.plans().inForce()->plan().Version : 0;
+  state["store_revision"] = store.replica().revision();
+  boost::json::array upstreams;
+  for (const auto &[id, it] : gateway.upstreams().upstreams())
+    upstreams.push_back(boost::json::object{{"id", id},
+                                            {"service", it.Service},
+                                            {"address", it.Address},
+                                            {"data_centre", it.DataCentre},
+                                            {"slots", it.Slots},
+                                            {"draining", it.IsDraining}});
+  state["upstreams"] = std::move(upstreams);
+  return boost::json::serialize(state);
+}
+
+} // namespace
+
+HttpHandler readinessHandler(Gateway &gateway) {
+  return [&gateway](HttpRequest request) -> asio::awaitable<HttpResponse> {
+    if (request.target() != platform::ReadinessPath)
+      co_return response(http::status::not_found);
+    co_return response(gateway.isReady() ? http::status::ok : http::status::service_unavailable,
+                       "{}");
+  };
+}
+
+HttpHandler directoryHandler(Gateway &gateway, DirectoryLookup lookup) {
+  return [&gateway, lookup = std::move(lookup)](HttpRequest request)
+             -> asio::awaitable<HttpResponse> {
+    const auto query = platform::decodeDirectoryQuery(request.target());
+    if (!query)
+      co_return response(http::status::not_found);
+    const auto addresses = lookup(query->DataCentre);
+    if (addresses.empty())
+      co_return response(http::status::service_unavailable, R"({"error":"no entry VM is ready"})");
+    const Duration lifetime =
+        std::min(DirectoryLifetime, gateway.settings().Bounds.MaxDirectoryLifetime);
+    co_return response(http::status::ok, platform::encodeDirectoryAnswer(addresses, lifetime));
+  };
+}
+
+HttpHandler operatorHandler(Gateway &gateway, StoreTask &store) {
+  return [&](HttpRequest request) -> asio::awaitable<HttpResponse> {
+    if (request.target() == "/metrics")
+      co_return response(http::status::ok, metrics(gateway, store), "text/plain; version=0.0.4");
+    if (request.target() == "/state")
+      co_return response(http::status::ok, stateDump(gateway, store));
+    co_return response(http::status::not_found);
+  };
+}
+
+} // namespace wigeonlift
--- /dev/null
+++ b/Services/Gateway/ProxiedRequest.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <LibBalance/LibBalance.h>
+#include <LibHttp/LibHttp.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace wigeonlift {
+
+/// An answer of an upstream that has arrived as a whole.
+struct WholeAnswer {
+  HttpResponseHead Head;
+  std::string Body;
+};
+
+/// An answer whose body is too large to hold; the rest of it is still on the connection.
+struct OpenAnswer {
+  HttpResponseHead Head;
+  std::string Begun;
+  std::shared_ptr<ConnectionLease> Connection;
+};
+
+/// The caller closed its connection.
+struct CallerGone {};
+
+using RequestOutcome = std::variant<WholeAnswer, OpenAnswer, Failure, CallerGone>;
+
+/// A request on its way through this VM, shared by the caller's session and the attempts.
+class ProxiedRequest {
+public:
+  ProxiedRequest(const boost::asio::any_io_executor &executor, RequestSpec spec,
+                 HttpRequestHead head, std::string body);
+
+  /// The first outcome counts; later ones are dropped.
+  void deliver(RequestOutcome outcome);
+  bool isDecided() const { return Outcome.has_value(); }
+  boost::asio::awaitable<RequestOutcome> nextOutcome();
+
+  RequestSpec Spec;
+  HttpRequestHead Head;
+  std::string Body;
+  /// Id that the caller gave this attempt of its own; upstreams echo it.
+  std::string CallerAttempt;
+  std::string Route;
+  std::string Service;
+  int Attempts = 0;
+
+private:
+  std::optional<RequestOutcome> Outcome;
+  boost::asio::steady_timer Event;
+};
+
+} // namespace wigeonlift
--- /dev/null
+++ b/Services/Gateway/RequestLog.cpp
@@ -0,0 +1,88 @@
+#include "RequestLog.h"
+
+#include <fmt/format.h>
+
+namespace wigeonlift {
+
+namespace {
+
+std::string ms(Duration span) { return fmt::format("{:.1f}", toSeconds(span) * 1e3); }
+
+std::string leftMs(const ProxiedRequest &request, TimePoint now) {
+  return ms(request.Spec.Deadline - now);
+}
+
+} // namespace
+
+void RequestLog::didSend(const ProxiedRequest &request, std::string_view upstream,
+                         const ChoiceFacts &choice) {
+  // The first attempt of most requests is told with the answer.
+  const bool isPlain = choice.Attempt == 1 && choice.Slowness <= 1.3 && choice.Occupied < choice.Slots;
+  if (isPlain)
+    return;
+  Log.write(EventLog::Weight::Routine, choice.IsHedge ? "hedged" : "sent",
+            {{"id", request.CallerAttempt},
+             {"svc", request.Service},
+             {"up", std::string{upstream}},
+             {"n", fmt::format("{}", choice.Attempt)},
+             {"busy", fmt::format("{}/{}", choice.Occupied, choice.Slots)},
+             {"slow", fmt::format("{:.2f}", choice.Slowness)},
+             {"age_ms", ms(choice.ReportAge)},
+             {"waited_ms", ms(choice.Waited)}});
+}
+
+void RequestLog::didFail(const ProxiedRequest &request, std::string_view upstream,
+                         std::string_view what, TimePoint now) {
+  Log.write(EventLog::Weight::Important, "attempt_failed",
+            {{"id", request.CallerAttempt},
+             {"svc", request.Service},
+             {"up", std::string{upstream}},
+             {"why", std::string{what}},
+             {"left_ms", leftMs(request, now)}});
+}
+
+void RequestLog::didAnswer(const ProxiedRequest &request, std::string_view upstream, int status,
+                           TimePoint now) {
+  Log.write(EventLog::Weight::Routine, "answered",
+            {{"id", request.CallerAttempt},
+             {"route", request.Route},
+             {"up", std::string{upstream}},
+             {"status", fmt::format("{}", status)},
+             {"n", fmt::format("{}", request.Attempts)},
+             {"took_ms", ms(now - request.Spec.ArrivedAt)}});
+}
+
+void RequestLog::didRefuse(const ProxiedRequest &request, const Failure &failure, int status,
+                           TimePoint now) {
+  Log.write(EventLog::Weight::Important, "refused",
+            {{"id", request.CallerAttempt},
+             {"route", request.Route},
+             {"svc", request.Service},
+             {"why", std::string{toString(failure.Kind)}},
+             {"run", std::string{toString(failure.Executed)}},
+             {"status", fmt::format("{}", status)},
+             {"n", fmt::format("{}", request.Attempts)},
+             {"took_ms", ms(now - request.Spec.ArrivedAt)},
+             {"left_ms", leftMs(request, now)},
+             {"retry_ms", ms(failure.RetryAfter)}});
+}
+
+void RequestLog::didLeave(const ProxiedRequest &request, TimePoint now) {
+  Log.write(EventLog::Weight::Routine, "caller_left",
+            {{"id", request.CallerAttempt},
+             {"route", request.Route},
+             {"took_ms", ms(now - request.Spec.ArrivedAt)}});
+}
+
+void RequestLog::didReject(std::string_view id, std::string_view host, std::string_view target,
+                           int status, std::uint64_t planVersion) {
+  constexpr std::size_t MaxLoggedBytes = 80;
+  Log.write(EventLog::Weight::Important, "rejected",
+            {{"id", std::string{id.substr(0, MaxLoggedBytes)}},
+             {"host", std::string{host.substr(0, MaxLoggedBytes)}},
+             {"path", std::string{target.substr(0, MaxLoggedBytes)}},
+             {"status", fmt::format("{}", status)},
+             {"plan", fmt::format("{}", planVersion)}});
+}
+
+} // namespace wigeonlift
--- /dev/null
+++ b/Services/Gateway/RequestLog.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "ProxiedRequest.h"
+
+#include <LibTelemetry/LibTelemetry.h>
+
+namespace wigeonlift {
+
+/// Log lines about decisions that touch a request. Each names the caller's id of the request.
+class RequestLog {
+public:
+  explicit RequestLog(EventLog &log) : Log(log) {}
+
+  void didSend(const ProxiedRequest &request, std::string_view upstream, const ChoiceFacts &choice);
+  void didFail(const ProxiedRequest &request, std::string_view upstream, std::string_view what,
+               TimePoint now);
+  void didAnswer(const ProxiedRequest &request, std::string_view upstream, int status,
+                 TimePoint now);
+  void didRefuse(const ProxiedRequest &request, const Failure &failure, int status, TimePoint now);
+  void didLeave(const ProxiedRequest &request, TimePoint now);
+  /// A request that no route or limit admits.
+  void didReject(std::string_view id, std::string_view host, std::string_view target, int status,
+                 std::uint64_t planVersion);
+
+private:
+  EventLog &Log;
+};
+
+} // namespace wigeonlift
--- /dev/null
+++ b/Services/Gateway/ServiceTask.cpp
@@ -0,0 +1,220 @@
+#include "ServiceTask.h"
+
+#include "UpstreamExchange.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace wigeonlift {
+
+namespace asio = boost::asio;
+
+ServiceTask::ServiceTask(asio::io_context &context, std::string name, std::string dataCentre,
+                         std::uint64_t seed, RequestLog log)
+    : Context(context), Name(std::move(name)), DataCentre(std::move(dataCentre)), Log(log),
+      Balancer(seed, bootTimeNow()), Timer(context) {}
+
+void ServiceTask::setUpstreams(const std::vector<UpstreamRecord> &records) {
+  const TimePoint now = bootTimeNow();
+  std::set<std::string> named;
+  std::vector<UpstreamFacts> facts;
+  for (const UpstreamRecord &record : records) {
+    const auto endpoint = parseEndpoint(record.Address);
+    if (!endpoint)
+      continue;
+    named.insert(record.Id);
+    auto &known = Upstreams[record.Id];
+    // Nothing that was learnt about a predecessor holds for a new incarnation.
+    if (!known || !known->Record.isSameIncarnation(record)) {
+      if (known)
+        known->Pool->retire();
+      known = std::make_shared<KnownUpstream>(KnownUpstream{
+          .Record = record,
+          .Index = UpstreamIndex{++LastIndex},
+          .WarmUntil = now + record.Warmup,
+          .Pool = std::make_shared<UpstreamPool>(Context.get_executor(), *endpoint,
+                                                 ConnectionLimit)});
+      ByIndex[known->Index] = known;
+    }
+    known->Record = record;
+    facts.push_back({.Index = known->Index,
+                     .IsNear = record.DataCentre == DataCentre,
+                     .Slots = record.Slots,
+                     .WarmUntil = known->WarmUntil});
+  }
+  std::erase_if(Upstreams, [&](const auto &it) {
+    if (named.contains(it.first))
+      return false;
+    it.second->Pool->retire();
+    return true;
+  });
+  std::erase_if(ByIndex, [&](const auto &it) {
+    const auto known = Upstreams.find(it.second->Record.Id);
+    return known == Upstreams.end() || known->second != it.second;
+  });
+  BalanceCommands out;
+  Balancer.setUpstreams(facts, now, out);
+  execute(std::move(out));
+}
+
+void ServiceTask::setPlan(const std::string &healthPath, int maxConnections) {
+  HealthPath = healthPath;
+  // The limit holds for the connections of all VMs; this VM needs few at a time.
+  if (maxConnections > 0)
+    ConnectionLimit = std::max(4, maxConnections / 8);
+}
+
+void ServiceTask::setRepeatBounds(double ratio, double allowance, Duration window) {
+  Balancer.setRepeatBounds(ratio, allowance, window);
+}
+
+void ServiceTask::setProbeRate(double probesPerSecond) {
+  Balancer.setProbeRate(probesPerSecond, bootTimeNow());
+}
+
+void ServiceTask::requestArrived(std::shared_ptr<ProxiedRequest> request) {
+  const RequestSpec spec = request->Spec;
+  Requests[spec.Id] = std::move(request);
+  BalanceCommands out;
+  Balancer.requestArrived(spec, bootTimeNow(), out);
+  execute(std::move(out));
+}
+
+void ServiceTask::callerLeft(CallId id) {
+  BalanceCommands out;
+  Balancer.callerLeft(id, bootTimeNow(), out);
+  execute(std::move(out));
+  if (const auto it = Requests.find(id); it != Requests.end()) {
+    Log.didLeave(*it->second, bootTimeNow());
+    it->second->deliver(CallerGone{});
+    Requests.erase(it);
+  }
+}
+
+void ServiceTask::didPause() { Balancer.didPause(); }
+
+void ServiceTask::maintain(TimePoint now) {
+  for (const auto &[id, known] : Upstreams)
+    known->Pool->maintain(now, 0);
+}
+
+bool ServiceTask::maySend(const RunningAttempt &attempt) {
+  BalanceCommands out;
+  const auto choice = Balancer.choice(attempt.Id);
+  const bool may = Balancer.maySend(attempt.Id, bootTimeNow(), out);
+  if (may) {
+    ++attempt.Request->Attempts;
+    Log.didSend(*attempt.Request, attempt.Upstream->Record.Id, *choice);
+  }
+  execute(std::move(out));
+  return may;
+}
+
+AnswerUse ServiceTask::didAnswer(const RunningAttempt &attempt, const AnswerFacts &facts) {
+  Attempts.erase(attempt.Id);
+  BalanceCommands out;
+  const AnswerUse use = Balancer.didAnswer(attempt.Id, facts, bootTimeNow(), out);
+  if (use == AnswerUse::Relay)
+    Requests.erase(attempt.Request->Spec.Id);
+  execute(std::move(out));
+  return use;
+}
+
+void ServiceTask::attemptFailed(const RunningAttempt &attempt, AttemptStage stage,
+                                std::string_view what) {
+  if (!Attempts.erase(attempt.Id))
+    return;
+  const TimePoint now = bootTimeNow();
+  Log.didFail(*attempt.Request, attempt.Upstream->Record.Id, what, now);
+  BalanceCommands out;
+  Balancer.attemptFailed(attempt.Id, stage, now, out);
+  execute(std::move(out));
+}
+
+void ServiceTask::probeAnswered(ProbeId id, const LoadReport &report) {
+  BalanceCommands out;
+  Balancer.probeAnswered(id, report, bootTimeNow(), out);
+  execute(std::move(out));
+}
+
+void ServiceTask::probeFailed(ProbeId id) {
+  BalanceCommands out;
+  Balancer.probeFailed(id, bootTimeNow(), out);
+  execute(std::move(out));
+}
+
+PoolCounts ServiceTask::connections() const {
+  PoolCounts counts;
+  for (const auto &[id, known] : Upstreams)
+    counts += known->Pool->counts();
+  return counts;
+}
+
+void ServiceTask::execute(BalanceCommands commands) {
+  for (const BalanceCommand &command : commands)
+    std::visit([this](const auto &it) { run(it); }, command);
+  armTimer();
+}
+
+void ServiceTask::run(const SendRequest &command) {
+  const auto request = Requests.find(command.Call);
+  const auto upstream = ByIndex.find(command.Upstream);
+  auto attempt = std::make_shared<RunningAttempt>();
+  attempt->Id = command.Attempt;
+  Attempts[command.Attempt] = attempt;
+  attempt->Request = request->second;
+  attempt->Upstream = upstream->second;
+  attempt->Wait = std::make_shared<PoolWait>(Context.get_executor());
+  asio::co_spawn(Context, exchangeRequest(shared_from_this(), attempt), asio::detached);
+}
+
+void ServiceTask::run(const AbandonAttempt &command) {
+  const auto it = Attempts.find(command.Attempt);
+  if (it == Attempts.end())
+    return;
+  const auto attempt = it->second;
+  Attempts.erase(it);
+  attempt->IsAbandoned = true;
+  attempt->Wait->abandon();
+  if (attempt->Connection)
+    (*attempt->Connection)->close();
+}
+
+void ServiceTask::run(const AskLoad &command) {
+  const auto upstream = ByIndex.find(command.Upstream);
+  if (upstream != ByIndex.end())
+    asio::co_spawn(Context, exchangeProbe(shared_from_this(), upstream->second, command.Probe),
+                   asio::detached);
+}
+
+void ServiceTask::run(const RefuseRequest &command) {
+  const auto it = Requests.find(command.Call);
+  if (it == Requests.end())
+    return;
+  const auto request = std::move(it->second);
+  Requests.erase(it);
+  request->deliver(command.Reason);
+}
+
+void ServiceTask::armTimer() {
+  const auto next = Balancer.nextWakeup();
+  if (!next || *next >= ArmedFor)
+    return;
+  ArmedFor = *next;
+  const Duration span = std::max(Duration::zero(), *next - bootTimeNow());
+  Timer.expires_after(span);
+  Timer.async_wait([self = shared_from_this()](const boost::system::error_code &ec) {
+    if (ec)
+      return;
+    self->ArmedFor = TimePoint::max();
+    BalanceCommands out;
+    self->Balancer.tick(bootTimeNow(), out);
+    self->execute(std::move(out));
+  });
+}
+
+} // namespace wigeonlift
--- /dev/null
+++ b/Services/Gateway/ServiceTask.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "ProxiedRequest.h"
+#include "RequestLog.h"
+
+#include <LibBalance/LibBalance.h>
+#include <LibDiscovery/LibDiscovery.h>
+#include <LibHttp/LibHttp.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+
+namespace wigeonlift {
+
+/// An upstream that this process has worked with, and the connections to it.
+struct KnownUpstream {
+  UpstreamRecord Record;
+  UpstreamIndex Index;
+  TimePoint WarmUntil{};
+  std::shared_ptr<UpstreamPool> Pool;
+};
+
+/// An attempt that is being sent or answered.
+struct RunningAttempt {
+  AttemptId Id;
+  std::shared_ptr<ProxiedRequest> Request;
+  std::shared_ptr<const KnownUpstream> Upstream;
+  std::shared_ptr<PoolWait> Wait;
+  std::shared_ptr<ConnectionLease> Connection;
+  bool IsAbandoned = false;
+};
+
+/// Runs the commands of one service's balancer: owns the connections to the upstreams, the attempts
+/// and the timer. All of it is used on one thread.
+class ServiceTask : public std::enable_shared_from_this<ServiceTask> {
+public:
+  ServiceTask(boost::asio::io_context &context, std::string name, std::string dataCentre,
+              std::uint64_t seed, RequestLog log);
+
+  const std::string &name() const { return Name; }
+  void setUpstreams(const std::vector<UpstreamRecord> &records);
+  void setPlan(const std::string &healthPath, int maxConnections);
+  void setRepeatBounds(double ratio, double allowance, Duration window);
+  void setProbeRate(double probesPerSecond);
+
+  void requestArrived(std::shared_ptr<ProxiedRequest> request);
+  void callerLeft(CallId id);
+  void didPause();
+  /// Closes connections that have been idle for long.
+  void maintain(TimePoint now);
+
+  // For the coroutines that carry attempts and probes.
+  bool maySend(const RunningAttempt &attempt);
+  AnswerUse didAnswer(const RunningAttempt &attempt, const AnswerFacts &facts);
+  void attemptFailed(const RunningAttempt &attempt, AttemptStage stage, std::string_view what);
+  void probeAnswered(ProbeId id, const LoadReport &report);
+  void probeFailed(ProbeId id);
+  RequestLog &log() { return Log; }
+  const std::string &healthPath() const { return HealthPath; }
+
+  const ServiceBalancer &balancer() const { return Balancer; }
+  std::size_t upstreams() const { return Upstreams.size(); }
+  PoolCounts connections() const;
+
+private:
+  void execute(BalanceCommands commands);
+  void run(const SendRequest &command);
+  void run(const AbandonAttempt &command);
+  void run(const AskLoad &command);
+  void run(const RefuseRequest &command);
+  void armTimer();
+
+  boost::asio::io_context &Context;
+  std::string Name;
+  std::string DataCentre;
+  RequestLog Log;
+  ServiceBalancer Balancer;
+  std::string HealthPath = "/health";
+  int ConnectionLimit = 64;
+  std::map<std::string, std::shared_ptr<KnownUpstream>> Upstreams;
+  std::map<UpstreamIndex, std::shared_ptr<KnownUpstream>> ByIndex;
+  std::map<CallId, std::shared_ptr<ProxiedRequest>> Requests;
+  std::map<AttemptId, std::shared_ptr<RunningAttempt>> Attempts;
+  std::uint32_t LastIndex = 0;
+  boost::asio::steady_timer Timer;
+  TimePoint ArmedFor = TimePoint::max();
+};
+
+} // namespace wigeonlift
--- /dev/null
+++ b/Services/Gateway/UpstreamExchange.cpp
@@ -0,0 +1,234 @@
+#include "UpstreamExchange.h"
+
+#include <platform/Platform.h>
+
+#include <fmt/format.h>
+
+#include <array>
+#include <utility>
+#include <vector>
+
+namespace wigeonlift {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+// Answers up to this size are held back until they are whole, so that a broken one can be repeated.
+constexpr std::size_t MaxHeldBytes = 2 * 1024 * 1024;
+constexpr std::size_t FirstReadBytes = 4 * 1024;
+constexpr std::size_t ReadBytes = 64 * 1024;
+constexpr int FirstFailureStatus = 300;
+constexpr int FirstSuccessStatus = 200;
+constexpr int Misdirected = 421;
+// Late answers to earlier requests that are skipped before the connection is given up.
+constexpr int MaxForeignAnswers = 3;
+// Lets the upstream's own answer arrive before the caller's deadline.
+constexpr Duration DeadlineMargin = std::chrono::milliseconds{10};
+
+// How long after the deadline the answer to work that was not interrupted is read.
+constexpr Duration LateAnswerSpan = std::chrono::seconds{1};
+constexpr Duration ProbeSpan = std::chrono::milliseconds{500};
+
+enum class BodyEnd : std::uint8_t { Whole, Broken, TooLarge };
+
+HttpRequestHead headFor(const RunningAttempt &attempt, TimePoint now) {
+  const ProxiedRequest &request = *attempt.Request;
+  HttpRequestHead head = request.Head;
+  const auto leftMs = std::max(1LL, toMilliseconds(request.Spec.Deadline - now - DeadlineMargin));
+  head.set(platform::DeadlineHeader, fmt::format("{}", leftMs));
+  head.set(platform::ExpectedUpstreamHeader, attempt.Upstream->Record.Id);
+  if (!request.Body.empty() || head.method() == http::verb::post ||
+      head.method() == http::verb::put)
+    head.set(http::field::content_length, fmt::format("{}", request.Body.size()));
+  return head;
+}
+
+asio::awaitable<BodyEnd> readBody(UpstreamConnection &connection, std::string &body) {
+  std::size_t step = FirstReadBytes;
+  while (body.size() < MaxHeldBytes) {
+    const std::size_t had = body.size();
+    body.resize(had + step);
+    const BodyPart part = co_await connection.readBody({body.data() + had, step});
+    body.resize(had + part.Size);
+    if (part.IsBroken)
+      co_return BodyEnd::Broken;
+    if (part.IsLast)
+      co_return BodyEnd::Whole;
+    step = ReadBytes;
+  }
+  co_return BodyEnd::TooLarge;
+}
+
+bool isOwnAnswer(const HttpResponseHead &head, const ProxiedRequest &request) {
+  return headerValue(head, platform::AttemptIdHeader) == request.CallerAttempt;
+}
+
+/// Reads answers until one echoes the id of the request. Extra answers to earlier requests on the
+/// connection come first.
+asio::awaitable<const HttpResponseHead *> readOwnHead(UpstreamConnection &connection,
+                                                      const ProxiedRequest &request,
+                                                      bool &sawForeign) {
+  const bool isHead = request.Head.method() == http::verb::head;
+  for (int n = 0; n <= MaxForeignAnswers; ++n) {
+    const auto *head = co_await connection.readHead(isHead, OpenEnd::Allowed);
+    if (!head || isOwnAnswer(*head, request))
+      co_return head;
+    // Rejections of a request that could not be read carry no id.
+    if (head->find(platform::AttemptIdHeader) == head->end())
+      co_return head;
+    sawForeign = true;
+    std::string dropped;
+    if (co_await readBody(connection, dropped) != BodyEnd::Whole)
+      co_return nullptr;
+  }
+  co_return nullptr;
+}
+
+AnswerKind kindOf(const HttpResponseHead &head, const ProxiedRequest &request, BodyEnd end) {
+  const int status = static_cast<int>(head.result_int());
+  if (head.find(platform::NotRunHeader) != head.end() || status == Misdirected)
+    return AnswerKind::NotRun;
+  const bool isSealed = !headerValue(head, platform::SealHeader).empty();
+  const bool isEncoded = head.find(http::field::content_encoding) != head.end();
+  if (!isSealed || isEncoded || !isOwnAnswer(head, request) || end == BodyEnd::Broken)
+    return AnswerKind::Invalid;
+  return status >= FirstSuccessStatus && status < FirstFailureStatus ? AnswerKind::Success
+                                                                     : AnswerKind::UpstreamFailure;
+}
+
+/// What the caller gets of the upstream's head.
+HttpResponseHead callerHead(const HttpResponseHead &response) {
+  constexpr std::array<std::string_view, 1> dropped{platform::LoadHeader};
+  HttpResponseHead head;
+  head.version(11);
+  head.result(response.result_int());
+  head.reason(response.reason());
+  copyEndToEndFields(response, head, dropped);
+  return head;
+}
+
+std::string describe(AnswerKind kind, const HttpResponseHead &head, BodyEnd end) {
+  if (kind == AnswerKind::NotRun)
+    return fmt::format("not run, status {}", head.result_int());
+  if (end == BodyEnd::Broken)
+    return "answer broke off";
+  if (kind == AnswerKind::Invalid)
+    return fmt::format("no answer of the upstream, status {}", head.result_int());
+  return fmt::format("status {}", head.result_int());
+}
+
+/// Closes a connection at an instant, so that nothing waits for a silent upstream without end.
+class ConnectionGuard {
+public:
+  ConnectionGuard(const asio::any_io_executor &executor,
+                  std::shared_ptr<UpstreamConnection> connection, Duration span)
+      : Timer(executor, span) {
+    Timer.async_wait([connection = std::move(connection)](const boost::system::error_code &ec) {
+      if (!ec)
+        connection->close();
+    });
+  }
+
+private:
+  asio::steady_timer Timer;
+};
+
+/// Reads and judges the answer. The connection goes back to the pool when all of it was the answer.
+asio::awaitable<void> readAnswer(std::shared_ptr<ServiceTask> service,
+                                 std::shared_ptr<RunningAttempt> attempt) {
+  const auto connection = attempt->Connection->share();
+  const auto request = attempt->Request;
+  bool sawForeign = false;
+  const auto *head = co_await readOwnHead(*connection, *request, sawForeign);
+  if (attempt->IsAbandoned)
+    co_return;
+  if (!head)
+    co_return service->attemptFailed(*attempt, AttemptStage::Sent,
+                                     sawForeign ? "foreign answer, then none" : "no answer");
+  std::string body;
+  const BodyEnd end = co_await readBody(*connection, body);
+  if (attempt->IsAbandoned)
+    co_return;
+  const AnswerKind kind = kindOf(*head, *request, end);
+  const AnswerFacts facts{.Kind = kind,
+                          .Load = platform::parseLoad(headerValue(*head, platform::LoadHeader)),
+                          .Bytes = body.size()};
+  HttpResponseHead relayed = callerHead(*head);
+  const TimePoint now = bootTimeNow();
+  if (kind != AnswerKind::Success)
+    service->log().didFail(*request, attempt->Upstream->Record.Id, describe(kind, *head, end), now);
+  if (end == BodyEnd::Whole && !sawForeign && kind != AnswerKind::Invalid)
+    attempt->Connection->giveBack();
+  const AnswerUse use = service->didAnswer(*attempt, facts);
+  if (use == AnswerUse::Drop || request->isDecided())
+    co_return;
+  service->log().didAnswer(*request, attempt->Upstream->Record.Id,
+                           static_cast<int>(relayed.result_int()), now);
+  if (end == BodyEnd::TooLarge)
+    request->deliver(OpenAnswer{std::move(relayed), std::move(body), attempt->Connection});
+  else
+    request->deliver(WholeAnswer{std::move(relayed), std::move(body)});
+}
+
+} // namespace
+
+asio::awaitable<void> exchangeRequest(std::shared_ptr<ServiceTask> service,
+                                      std::shared_ptr<RunningAttempt> attempt) {
+  const auto request = attempt->Request;
+  const auto need = request->Spec.Class == CallClass::NonIdempotent ? ConnectionNeed::Proven
+                                                                    : ConnectionNeed::Any;
+  auto lease = co_await attempt->Upstream->Pool->acquire(need, attempt->Wait);
+  if (attempt->IsAbandoned) {
+    lease.giveBackUnused();
+    co_return;
+  }
+  if (!lease)
+    co_return service->attemptFailed(*attempt, AttemptStage::Unsent, "no connection");
+  if (!service->maySend(*attempt))
+    co_return lease.giveBackUnused();
+  attempt->Connection = std::make_shared<ConnectionLease>(std::move(lease));
+  const auto connection = attempt->Connection->share();
+  const TimePoint now = bootTimeNow();
+  const ConnectionGuard guard{co_await asio::this_coro::executor, connection,
+                              request->Spec.Deadline - now + LateAnswerSpan};
+  const HttpRequestHead head = headFor(*attempt, now);
+  const bool isWritten = co_await connection->write(head, request->Body);
+  if (attempt->IsAbandoned)
+    co_return;
+  if (!isWritten)
+    co_return service->attemptFailed(*attempt, AttemptStage::Sent, "connection broke");
+  co_await readAnswer(service, attempt);
+}
+
+asio::awaitable<void> exchangeProbe(std::shared_ptr<ServiceTask> service,
+                                    std::shared_ptr<const KnownUpstream> upstream, ProbeId probe) {
+  const auto wait =
+      std::make_shared<PoolWait>(co_await asio::this_coro::executor);
+  auto lease = co_await upstream->Pool->acquire(ConnectionNeed::Any, wait);
+  if (!lease)
+    co_return service->probeFailed(probe);
+  const auto connection = lease.share();
+  const ConnectionGuard guard{co_await asio::this_coro::executor, connection, ProbeSpan};
+  HttpRequestHead request;
+  request.version(11);
+  request.method(http::verb::get);
+  request.target(service->healthPath());
+  request.set(http::field::host, upstream->Record.Address);
+  if (!co_await connection->write(request, {}))
+    co_return service->probeFailed(probe);
+  const auto *head = co_await connection->readHead(false, OpenEnd::Refused);
+  if (!head)
+    co_return service->probeFailed(probe);
+  const bool isSame = headerValue(*head, platform::UpstreamIdHeader) == upstream->Record.Id;
+  const auto load = platform::parseLoad(headerValue(*head, platform::LoadHeader));
+  std::string body;
+  const BodyEnd end = co_await readBody(*connection, body);
+  if (!isSame || !load || end != BodyEnd::Whole)
+    co_return service->probeFailed(probe);
+  lease.giveBack();
+  service->probeAnswered(probe, *load);
+}
+
+} // namespace wigeonlift
