--- /dev/null
+++ b/Libraries/LibFleet/Fleet.cpp
@@ -0,0 +1,265 @@
+#include <LibFleet/Fleet.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <set>
+#include <utility>
+
+namespace wigeonlift {
+
+namespace {
+
+// A datagram stays below the usual MTU.
+constexpr std::size_t MaxRows = 24;
+// A far datagram is sent with each so many beats; bytes between data centres are dear.
+constexpr std::uint64_t FarBeats = 2;
+// A row passes on with each beat, so it is some beats old in a large data centre.
+constexpr Duration DeadAfter = std::chrono::milliseconds{3000};
+constexpr Duration DeadAfterPerVm = std::chrono::milliseconds{20};
+// Longer than the window of any budget.
+constexpr Duration BudgetMemory = std::chrono::seconds{60};
+constexpr Duration ForgetAfter = std::chrono::seconds{120};
+// Seeds are asked with each beat for this long, and now and then afterwards.
+constexpr Duration JoinSpan = std::chrono::seconds{5};
+constexpr std::uint64_t SeedBeats = 20;
+// A starting VM assumes a fleet of this size until it has heard of the others.
+constexpr int AssumedFleet = 12;
+constexpr Duration AssumeSpan = std::chrono::seconds{3};
+constexpr std::size_t ReadersPerDataCentre = 1;
+
+std::uint64_t mix(std::uint64_t value) {
+  value ^= value >> 33;
+  value *= 0xff51afd7ed558ccdULL;
+  return value ^ (value >> 33);
+}
+
+} // namespace
+
+Fleet::Fleet(FleetVm self, std::vector<VmAddress> seeds, std::uint64_t seed, TimePoint startedAt)
+    : Self(std::move(self)), Seeds(std::move(seeds)), Rng(seed), StartedAt(startedAt) {
+  std::erase(Seeds, Self.Ip);
+}
+
+Duration Fleet::deadAfter() const {
+  return DeadAfter + DeadAfterPerVm * static_cast<int>(Peers.size());
+}
+
+bool Fleet::isAlive(const Peer &peer, TimePoint now) const {
+  return now - peer.HeardAt < deadAfter();
+}
+
+std::vector<FleetSend> Fleet::stop(TimePoint now) {
+  Self.IsStopping = true;
+  Self.IsReady = false;
+  ++Self.Beat;
+  std::vector<FleetSend> sends;
+  for (const auto &[ip, peer] : Peers)
+    if (isAlive(peer, now))
+      sends.push_back({.To = ip, .Message = {.Sender = Self}});
+  return sends;
+}
+
+std::vector<FleetSend> Fleet::tick(TimePoint now) {
+  ++Ticks;
+  ++Self.Beat;
+  std::erase_if(Peers, [&](const auto &it) { return now - it.second.HeardAt > ForgetAfter; });
+  std::vector<FleetSend> sends;
+  std::set<VmAddress> chosen;
+  const auto add = [&](std::optional<VmAddress> to, bool isFar, bool wantsAnswer) {
+    if (!to || !chosen.insert(*to).second)
+      return;
+    sends.push_back({.To = *to, .Message = message(isFar, now)});
+    sends.back().Message.WantsAnswer = wantsAnswer;
+  };
+  add(pick(true, now), false, false);
+  if (Ticks % FarBeats == 0)
+    add(pick(false, now), true, false);
+  const bool isJoining = now - StartedAt < JoinSpan;
+  if (!Seeds.empty() && (isJoining || Ticks % SeedBeats == 0 || Peers.empty())) {
+    const VmAddress seed = Seeds[Rng.below(Seeds.size())];
+    add(seed, false, Peers.empty() || isJoining);
+  }
+  return sends;
+}
+
+std::vector<FleetSend> Fleet::didHear(const FleetMessage &incoming, TimePoint now) {
+  const bool isNew = !Peers.contains(incoming.Sender.Ip);
+  merge(incoming.Sender, now);
+  for (const FleetVm &it : incoming.Others)
+    merge(it, now);
+  if (incoming.Sender.Ip == Self.Ip || !(incoming.WantsAnswer || isNew))
+    return {};
+  return {{.To = incoming.Sender.Ip, .Message = message(false, now)}};
+}
+
+std::vector<FleetSend> Fleet::spread(const StoreDelta &delta, StoreRevision after, bool isReader,
+                                     TimePoint now) {
+  std::vector<FleetSend> sends;
+  std::set<VmAddress> farReaders;
+  std::set<std::string> dataCentres;
+  for (const auto &[ip, peer] : Peers)
+    if (isAlive(peer, now) && !isNear(peer.Vm) && dataCentres.insert(peer.Vm.DataCentre).second)
+      for (const FleetVm &it : readersOf(peer.Vm.DataCentre, now))
+        farReaders.insert(it.Ip);
+  const FleetMessage out{
+      .Sender = Self, .Others = {}, .WantsAnswer = false, .Delta = delta, .DeltaAfter = after};
+  for (const auto &[ip, peer] : Peers) {
+    if (!isAlive(peer, now) || peer.Vm.Revision >= delta.AsOf)
+      continue;
+    if ((isReader && isNear(peer.Vm)) || farReaders.contains(ip))
+      sends.push_back({.To = ip, .Message = out});
+  }
+  return sends;
+}
+
+std::vector<FleetVm> Fleet::alive(TimePoint now) const {
+  std::vector<FleetVm> result{Self};
+  for (const auto &[ip, peer] : Peers)
+    if (isAlive(peer, now))
+      result.push_back(peer.Vm);
+  return result;
+}
+
+std::vector<FleetVm> Fleet::readersOf(std::string_view dataCentre, TimePoint now) const {
+  std::vector<FleetVm> vms;
+  for (const FleetVm &it : alive(now))
+    if (it.DataCentre == dataCentre && !it.IsStopping && it.Revision > 0)
+      vms.push_back(it);
+  // VMs that reach the store come first, then large ones: a reader serves its whole data centre.
+  std::ranges::sort(vms, {}, [](const FleetVm &it) {
+    return std::tuple{it.HasLostStore, -static_cast<std::int64_t>(it.Weight), mix(it.Ip)};
+  });
+  vms.resize(std::min(vms.size(), ReadersPerDataCentre));
+  return vms;
+}
+
+bool Fleet::isReader(TimePoint now) const {
+  return std::ranges::any_of(readersOf(Self.DataCentre, now),
+                             [&](const FleetVm &it) { return it.Ip == Self.Ip; });
+}
+
+bool Fleet::hasWorkingReader(TimePoint now) const {
+  return std::ranges::any_of(readersOf(Self.DataCentre, now), [&](const FleetVm &it) {
+    return it.Ip != Self.Ip && !it.HasLostStore;
+  });
+}
+
+std::optional<VmAddress> Fleet::ahead(StoreRevision revision, TimePoint now) {
+  std::vector<const Peer *> near;
+  std::vector<const Peer *> far;
+  for (const auto &[ip, peer] : Peers)
+    if (isAlive(peer, now) && peer.Vm.Revision > revision)
+      (isNear(peer.Vm) ? near : far).push_back(&peer);
+  const auto &peers = near.empty() ? far : near;
+  if (peers.empty())
+    return std::nullopt;
+  return peers[Rng.below(peers.size())]->Vm.Ip;
+}
+
+int Fleet::budgetSize(TimePoint now) const {
+  const auto known = std::ranges::count_if(
+      Peers, [&](const auto &it) { return now - it.second.HeardAt < BudgetMemory; });
+  const int size = 1 + static_cast<int>(known);
+  return now - StartedAt < AssumeSpan ? std::max(size, AssumedFleet) : size;
+}
+
+std::vector<VmAddress> Fleet::forCaller(std::string_view dataCentre, std::size_t most,
+                                        TimePoint now) {
+  std::vector<FleetVm> near;
+  std::vector<FleetVm> far;
+  for (const FleetVm &it : alive(now))
+    if (it.IsReady && !it.IsStopping)
+      (it.DataCentre == dataCentre ? near : far).push_back(it);
+  constexpr std::size_t FewNear = 2;
+  std::vector<FleetVm> chosen = near;
+  if (near.size() < FewNear)
+    chosen.insert(chosen.end(), far.begin(), far.end());
+  std::uint32_t largest = 1;
+  for (const FleetVm &it : chosen)
+    largest = std::max(largest, it.Weight);
+  std::vector<VmAddress> result;
+  // Callers choose at random among the addresses, so a small VM is left out of most answers.
+  for (const FleetVm &it : chosen)
+    if (Rng.unit() * largest < it.Weight)
+      result.push_back(it.Ip);
+  for (const FleetVm &it : chosen)
+    if (result.size() < FewNear && std::ranges::find(result, it.Ip) == result.end())
+      result.push_back(it.Ip);
+  std::ranges::shuffle(result, Rng.engine());
+  result.resize(std::min(result.size(), most));
+  return result;
+}
+
+std::vector<std::pair<VmAddress, std::string_view>> Fleet::takeNews(TimePoint now) {
+  std::vector<std::pair<VmAddress, std::string_view>> news;
+  for (auto &[ip, peer] : Peers) {
+    const bool isUp = isAlive(peer, now);
+    if (std::exchange(peer.WasAlive, isUp) != isUp)
+      news.emplace_back(ip, isUp ? "up" : "down");
+  }
+  return news;
+}
+
+void Fleet::merge(const FleetVm &vm, TimePoint now) {
+  if (vm.Ip == Self.Ip) {
+    // The clock was set back between two starts; the others must follow this one.
+    if (vm.Incarnation > Self.Incarnation)
+      Self.Incarnation = vm.Incarnation + 1;
+    return;
+  }
+  const auto [it, isNew] = Peers.try_emplace(vm.Ip, Peer{.Vm = vm, .HeardAt = now});
+  if (isNew)
+    return;
+  FleetVm &known = it->second.Vm;
+  if (std::pair{vm.Incarnation, vm.Beat} <= std::pair{known.Incarnation, known.Beat})
+    return;
+  known = vm;
+  it->second.HeardAt = now;
+}
+
+FleetMessage Fleet::message(bool isFar, TimePoint now) {
+  FleetMessage out{.Sender = Self};
+  std::vector<FleetVm> rows;
+  for (const auto &[ip, peer] : Peers)
+    if (isAlive(peer, now) && (!isFar || isNear(peer.Vm)))
+      rows.push_back(peer.Vm);
+  const std::size_t n = std::min(rows.size(), MaxRows);
+  for (std::size_t k = 0; k < n; ++k)
+    out.Others.push_back(rows[(NextRow + k) % rows.size()]);
+  NextRow = rows.empty() ? 0 : (NextRow + n) % rows.size();
+  return out;
+}
+
+std::optional<VmAddress> Fleet::pick(bool isNearWanted, TimePoint now) {
+  std::vector<VmAddress> choices;
+  for (const auto &[ip, peer] : Peers)
+    if (isAlive(peer, now) && isNear(peer.Vm) == isNearWanted)
+      choices.push_back(ip);
+  if (choices.empty())
+    return std::nullopt;
+  return choices[Rng.below(choices.size())];
+}
+
+std::optional<VmAddress> parseVmAddress(std::string_view text) {
+  const auto parts = split(text.substr(0, text.find(':')), '.');
+  constexpr std::size_t Octets = 4;
+  if (parts.size() != Octets)
+    return std::nullopt;
+  VmAddress address = 0;
+  for (const std::string_view it : parts) {
+    const auto octet = parseNumber<std::uint8_t>(it);
+    if (!octet)
+      return std::nullopt;
+    address = (address << 8) | *octet;
+  }
+  return address;
+}
+
+std::string toText(VmAddress address, int port) {
+  return fmt::format("{}.{}.{}.{}:{}", address >> 24, (address >> 16) & 255, (address >> 8) & 255,
+                     address & 255, port);
+}
+
+} // namespace wigeonlift
--- /dev/null
+++ b/Libraries/LibFleet/Fleet.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <LibFleet/FleetMessage.h>
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace wigeonlift {
+
+/// A datagram to be sent.
+struct FleetSend {
+  VmAddress To = 0;
+  FleetMessage Message;
+};
+
+/// What this VM knows of the other VMs. Each VM sends a datagram to a near VM every beat and to a
+/// far one now and then; rows spread from VM to VM, and a row whose beat stands still is dead.
+/// Performs no I/O.
+///
+/// The VMs of a data centre that watch the store for the others are its readers. Every VM works out
+/// for itself which ones these are.
+class Fleet {
+public:
+  /// Time between two calls of `tick`.
+  static constexpr Duration BeatInterval = std::chrono::milliseconds{500};
+
+  Fleet(FleetVm self, std::vector<VmAddress> seeds, std::uint64_t seed, TimePoint startedAt);
+
+  /// What others shall know of this VM.
+  void setReady(bool isReady) { Self.IsReady = isReady; }
+  void setRevision(StoreRevision revision) { Self.Revision = revision; }
+  void setLostStore(bool hasLost) { Self.HasLostStore = hasLost; }
+  /// This VM stops: tells all at once.
+  std::vector<FleetSend> stop(TimePoint now);
+
+  /// Regular messages.
+  std::vector<FleetSend> tick(TimePoint now);
+  /// Takes over what a message says about VMs; returns answers.
+  std::vector<FleetSend> didHear(const FleetMessage &message, TimePoint now);
+  /// Messages that bring a change of the store to the VMs that depend on this one: all near ones
+  /// and the readers of the other data centres.
+  std::vector<FleetSend> spread(const StoreDelta &delta, StoreRevision after, bool isReader,
+                                TimePoint now);
+
+  const FleetVm &self() const { return Self; }
+  /// All VMs that are alive, this one included.
+  std::vector<FleetVm> alive(TimePoint now) const;
+  /// Whether this VM watches the store for its data centre.
+  bool isReader(TimePoint now) const;
+  /// Whether a near VM that isn't this one watches the store with success.
+  bool hasWorkingReader(TimePoint now) const;
+  /// A VM whose replica is ahead of a revision, a near one if there is one.
+  std::optional<VmAddress> ahead(StoreRevision revision, TimePoint now);
+  /// VMs among which budgets are shared. Those that have fallen silent count for a while, since they
+  /// may only be out of reach.
+  int budgetSize(TimePoint now) const;
+  /// VMs for a caller in a data centre, chosen in proportion to their weights.
+  std::vector<VmAddress> forCaller(std::string_view dataCentre, std::size_t most, TimePoint now);
+  /// Changes of state since the last call, for logs.
+  std::vector<std::pair<VmAddress, std::string_view>> takeNews(TimePoint now);
+
+private:
+  struct Peer {
+    FleetVm Vm;
+    TimePoint HeardAt{};
+    bool WasAlive = false;
+  };
+
+  bool isAlive(const Peer &peer, TimePoint now) const;
+  bool isNear(const FleetVm &vm) const { return vm.DataCentre == Self.DataCentre; }
+  void merge(const FleetVm &vm, TimePoint now);
+  std::vector<FleetVm> readersOf(std::string_view dataCentre, TimePoint now) const;
+  FleetMessage message(bool isFar, TimePoint now);
+  std::optional<VmAddress> pick(bool isNear, TimePoint now);
+  Duration deadAfter() const;
+
+  FleetVm Self;
+  std::vector<VmAddress> Seeds;
+  Random Rng;
+  TimePoint StartedAt;
+  std::map<VmAddress, Peer> Peers;
+  std::uint64_t Ticks = 0;
+  std::size_t NextRow = 0;
+};
+
+/// Parses `IP:PORT` or `IP`; empty when the text holds no IPv4 address.
+std::optional<VmAddress> parseVmAddress(std::string_view text);
+/// The address with a port, as `IP:PORT`.
+std::string toText(VmAddress address, int port);
+
+} // namespace wigeonlift
--- /dev/null
+++ b/Libraries/LibFleet/FleetCodec.cpp
@@ -0,0 +1,103 @@
+#include <LibFleet/FleetCodec.h>
+
+#include <Fleet.pb.h>
+
+namespace wigeonlift {
+
+namespace {
+
+enum Flag : std::uint32_t { ReadyFlag = 1, StoppingFlag = 2, LostStoreFlag = 4 };
+
+void encode(const FleetVm &vm, fleetwire::Vm &out) {
+  out.set_ip(vm.Ip);
+  out.set_data_centre(vm.DataCentre);
+  out.set_incarnation(vm.Incarnation);
+  out.set_beat(vm.Beat);
+  out.set_flags((vm.IsReady ? ReadyFlag : 0U) | (vm.IsStopping ? StoppingFlag : 0U) |
+                (vm.HasLostStore ? LostStoreFlag : 0U));
+  out.set_weight(vm.Weight);
+  out.set_revision(vm.Revision);
+}
+
+FleetVm decode(const fleetwire::Vm &in) {
+  return {.Ip = in.ip(),
+          .DataCentre = in.data_centre(),
+          .Incarnation = in.incarnation(),
+          .Beat = in.beat(),
+          .IsReady = (in.flags() & ReadyFlag) != 0,
+          .IsStopping = (in.flags() & StoppingFlag) != 0,
+          .HasLostStore = (in.flags() & LostStoreFlag) != 0,
+          .Weight = in.weight(),
+          .Revision = in.revision()};
+}
+
+void encode(const StoreDelta &delta, StoreRevision after, fleetwire::Delta &out) {
+  out.set_complete(delta.IsComplete);
+  out.set_after(after);
+  out.set_as_of(delta.AsOf);
+  for (const StoreItem &it : delta.Items) {
+    auto &item = *out.add_items();
+    item.set_key(it.Key);
+    item.set_value(it.Value);
+    item.set_revision(it.Revision);
+    item.set_removed(it.IsRemoved);
+  }
+}
+
+StoreDelta decode(const fleetwire::Delta &in) {
+  StoreDelta delta{.Items = {}, .IsComplete = in.complete(), .AsOf = in.as_of()};
+  for (const auto &it : in.items())
+    delta.Items.push_back({.Key = it.key(),
+                           .Value = it.value(),
+                           .Revision = it.revision(),
+                           .IsRemoved = it.removed()});
+  return delta;
+}
+
+template <typename Message> bool parse(Message &message, std::string_view bytes) {
+  return message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
+}
+
+} // namespace
+
+std::string encodeFleetMessage(const FleetMessage &message) {
+  fleetwire::Message out;
+  encode(message.Sender, *out.mutable_sender());
+  for (const FleetVm &it : message.Others)
+    encode(it, *out.add_others());
+  out.set_wants_answer(message.WantsAnswer);
+  if (message.Delta)
+    encode(*message.Delta, message.DeltaAfter, *out.mutable_delta());
+  return out.SerializeAsString();
+}
+
+std::optional<FleetMessage> decodeFleetMessage(std::string_view bytes) {
+  fleetwire::Message in;
+  if (!parse(in, bytes) || in.sender().ip() == 0)
+    return std::nullopt;
+  FleetMessage message{.Sender = decode(in.sender()),
+                       .Others = {},
+                       .WantsAnswer = in.wants_answer(),
+                       .Delta = {},
+                       .DeltaAfter = in.delta().after()};
+  for (const auto &it : in.others())
+    message.Others.push_back(decode(it));
+  if (in.has_delta())
+    message.Delta = decode(in.delta());
+  return message;
+}
+
+std::string encodeStoreDelta(const StoreDelta &delta, StoreRevision after) {
+  fleetwire::Delta out;
+  encode(delta, after, out);
+  return out.SerializeAsString();
+}
+
+std::optional<StoreDelta> decodeStoreDelta(std::string_view bytes) {
+  fleetwire::Delta in;
+  if (!parse(in, bytes))
+    return std::nullopt;
+  return decode(in);
+}
+
+} // namespace wigeonlift
--- /dev/null
+++ b/Libraries/LibFleet/FleetMessage.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <LibDiscovery/LibDiscovery.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace wigeonlift {
+
+/// An IPv4 address in host byte order. All VMs use the same ports.
+using VmAddress = std::uint32_t;
+
+/// What a VM says of itself, as others pass it on.
+struct FleetVm {
+  VmAddress Ip = 0;
+  std::string DataCentre;
+  /// Larger for each start of the process.
+  std::uint64_t Incarnation = 0;
+  /// Increases while the process runs.
+  std::uint32_t Beat = 0;
+  bool IsReady = false;
+  bool IsStopping = false;
+  /// Its calls to the store fail, or did so a moment ago.
+  bool HasLostStore = false;
+  /// Share of the callers that it can take, in relation to others.
+  std::uint32_t Weight = 1;
+  /// Revision of its replica of the store.
+  StoreRevision Revision = 0;
+
+  bool operator==(const FleetVm &) const = default;
+};
+
+/// A datagram between VMs.
+struct FleetMessage {
+  FleetVm Sender;
+  std::vector<FleetVm> Others{};
+  bool WantsAnswer = false;
+  /// Changes of the store after a revision.
+  std::optional<StoreDelta> Delta{};
+  StoreRevision DeltaAfter = 0;
+};
+
+} // namespace wigeonlift
--- a/Services/Gateway/Daemon.cpp
+++ b/Services/Gateway/Daemon.cpp
@@ -32,7 +32,7 @@
 Daemon::Daemon(const GatewaySettings &settings, std::string settingsFile, EventLog &log,
                std::uint64_t seed)
     : SettingsFile(std::move(settingsFile)), Log(log), Core(Context, settings, log, seed),
-      Store(Core, seed),
+      Peers(Core, seed), Store(Core, Peers, seed),
       Callers(Context,
               [this](std::shared_ptr<CallerConnection> caller) -> asio::awaitable<void> {
                 CallerSession session{Core, std::move(caller)};
@@ -40,9 +40,9 @@
               }),
       Readiness(Context, readinessHandler(Core)),
       Directory(Context, directoryHandler(Core, [this](std::string_view dataCentre) {
-                  return callersAddresses(dataCentre);
+                  return Peers.callersAddresses(dataCentre);
                 })),
-      Operator(Context, operatorHandler(Core, Store)), Signals(Context, SIGTERM, SIGHUP) {
+      Operator(Context, operatorHandler(Core, Peers, Store)), Signals(Context, SIGTERM, SIGHUP) {
   Signals.add(SIGINT);
   SettingsText = readFile(SettingsFile).value_or("");
 }
@@ -59,6 +59,8 @@
     status = bind(Directory, settings.DirectoryAddress);
   if (status.ok())
     status = bind(Operator, fmt::format("{}:{}", settings.Ip, MetricsPort));
+  if (status.ok())
+    status = Peers.start();
   if (!status.ok())
     return status;
   Store.start();
@@ -104,6 +106,7 @@
 
 asio::awaitable<void> Daemon::stop() {
   Core.beginStop();
+  Peers.stop();
   Log.write(EventLog::Weight::Important, "stopping",
             {{"connections", fmt::format("{}", Callers.connections())}});
   Log.flush();
@@ -135,10 +138,4 @@
   Log.write(EventLog::Weight::Important, "settings_taken", {});
 }
 
-std::vector<std::string> Daemon::callersAddresses(std::string_view) {
-  if (!Core.isReady())
-    return {};
-  return {Core.settings().CallersAddress};
-}
-
 } // namespace wigeonlift
--- a/Services/Gateway/Daemon.h
+++ b/Services/Gateway/Daemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "CallerSession.h"
+#include "FleetTask.h"
 #include "Gateway.h"
 #include "Ports.h"
 #include "StoreTask.h"
@@ -28,13 +29,13 @@
   boost::asio::awaitable<void> maintainRegularly();
   boost::asio::awaitable<void> stop();
   void reload();
-  std::vector<std::string> callersAddresses(std::string_view dataCentre);
 
   boost::asio::io_context Context{1};
   std::string SettingsFile;
   std::string SettingsText;
   EventLog &Log;
   Gateway Core;
+  FleetTask Peers;
   StoreTask Store;
   CallerServer Callers;
   HttpServer Readiness;
--- /dev/null
+++ b/Services/Gateway/FleetTask.cpp
@@ -0,0 +1,217 @@
+#include "FleetTask.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace wigeonlift {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr auto Completion = asio::as_tuple(asio::use_awaitable);
+// Larger changes are read over HTTP by those who need them.
+constexpr std::size_t MaxDatagramBytes = 1300;
+constexpr std::size_t ReceiveBytes = 64 * 1024;
+constexpr std::string_view ReplicaTarget = "/replica?after=";
+constexpr Duration PullTimeout = std::chrono::milliseconds{900};
+// A change that was announced usually arrives by itself.
+constexpr Duration PullDelay = std::chrono::milliseconds{80};
+constexpr Duration PullRetry = std::chrono::milliseconds{200};
+constexpr std::size_t MaxCallerAddresses = 64;
+constexpr double WeightPerCore = 1000;
+// A link of so many Mbit/s carries the downloads of a whole core.
+constexpr double LinkMbpsPerCore = 200;
+
+FleetVm selfOf(const GatewaySettings &settings) {
+  const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+  const double share = std::min(settings.CpuShare, settings.LinkMbps / LinkMbpsPerCore);
+  return {.Ip = parseVmAddress(settings.Ip).value_or(0),
+          .DataCentre = settings.DataCentre,
+          .Incarnation = static_cast<std::uint64_t>(
+              std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count()),
+          .Weight = std::max(1U, static_cast<std::uint32_t>(WeightPerCore * share))};
+}
+
+std::vector<VmAddress> seedsOf(const GatewaySettings &settings) {
+  std::vector<VmAddress> seeds;
+  for (const std::string &it : settings.SeedPeers)
+    if (const auto address = parseVmAddress(it))
+      seeds.push_back(*address);
+  return seeds;
+}
+
+} // namespace
+
+FleetTask::FleetTask(Gateway &gateway, std::uint64_t seed)
+    : Owner(gateway), Members(selfOf(gateway.settings()), seedsOf(gateway.settings()), seed,
+                              bootTimeNow()),
+      Socket(gateway.context()),
+      Server(gateway.context(), [this](HttpRequest request) { return answer(std::move(request)); }) {
+  if (const auto callers = parseEndpoint(gateway.settings().CallersAddress))
+    CallersPort = callers->port();
+}
+
+absl::Status FleetTask::start() {
+  const GatewaySettings &settings = Owner.settings();
+  const auto endpoint = parseEndpoint(fmt::format("{}:{}", settings.Ip, settings.FirstInternalPort));
+  if (!endpoint)
+    return absl::InvalidArgumentError("the address or the internal port is missing");
+  if (absl::Status status = Server.start(*endpoint); !status.ok())
+    return status;
+  boost::system::error_code ec;
+  Socket.open(asio::ip::udp::v4(), ec);
+  if (!ec)
+    Socket.bind({endpoint->address(), endpoint->port()}, ec);
+  if (!ec)
+    Socket.non_blocking(true, ec);
+  if (ec)
+    return absl::UnavailableError(ec.message());
+  asio::co_spawn(Owner.context(), receive(), asio::detached);
+  asio::co_spawn(Owner.context(), beatRegularly(), asio::detached);
+  return absl::OkStatus();
+}
+
+void FleetTask::stop() { send(Members.stop(bootTimeNow())); }
+
+void FleetTask::didLearn(const StoreDelta &delta, StoreRevision after) {
+  apply(delta, "store", false);
+  const TimePoint now = bootTimeNow();
+  if (Replica.revision() > after)
+    send(Members.spread(delta, after, Members.isReader(now), now));
+}
+
+bool FleetTask::mustWatch() const {
+  const TimePoint now = bootTimeNow();
+  return Members.isReader(now) || !Members.hasWorkingReader(now);
+}
+
+std::vector<std::string> FleetTask::callersAddresses(std::string_view dataCentre) {
+  std::vector<std::string> result;
+  for (const VmAddress it :
+       Members.forCaller(dataCentre, MaxCallerAddresses, bootTimeNow()))
+    result.push_back(toText(it, CallersPort));
+  return result;
+}
+
+asio::awaitable<void> FleetTask::beatRegularly() {
+  asio::steady_timer timer{Owner.context()};
+  while (true) {
+    const TimePoint now = bootTimeNow();
+    Members.setReady(Owner.isReady());
+    send(Members.tick(now));
+    Owner.setFleetSize(Members.budgetSize(now));
+    for (const auto &[ip, state] : Members.takeNews(now))
+      Owner.eventLog().write(EventLog::Weight::Important, "member",
+                             {{"vm", toText(ip, CallersPort)}, {"state", std::string{state}}});
+    timer.expires_after(Fleet::BeatInterval);
+    co_await timer.async_wait(Completion);
+  }
+}
+
+asio::awaitable<void> FleetTask::receive() {
+  std::vector<char> buf(ReceiveBytes);
+  while (true) {
+    asio::ip::udp::endpoint from;
+    const auto [ec, n] = co_await Socket.async_receive_from(asio::buffer(buf), from, Completion);
+    if (ec == asio::error::operation_aborted)
+      co_return;
+    if (ec)
+      continue;
+    if (const auto message = decodeFleetMessage({buf.data(), n}))
+      handle(*message);
+  }
+}
+
+void FleetTask::handle(const FleetMessage &message) {
+  const TimePoint now = bootTimeNow();
+  send(Members.didHear(message, now));
+  if (message.Delta && Replica.revision() >= message.DeltaAfter &&
+      message.Delta->AsOf > Replica.revision())
+    apply(*message.Delta, "peer", message.Sender.HasLostStore);
+  if (!IsPulling && Members.ahead(Replica.revision(), now)) {
+    IsPulling = true;
+    asio::co_spawn(Owner.context(), pull(), asio::detached);
+  }
+}
+
+asio::awaitable<void> FleetTask::pull() {
+  asio::steady_timer timer{Owner.context()};
+  Duration wait = Replica.isEmpty() ? Duration::zero() : PullDelay;
+  while (true) {
+    timer.expires_after(wait);
+    co_await timer.async_wait(Completion);
+    const auto from = Members.ahead(Replica.revision(), bootTimeNow());
+    if (!from)
+      break;
+    ++Pulls;
+    const auto endpoint = *parseEndpoint(toText(*from, Owner.settings().FirstInternalPort));
+    const std::string target = fmt::format("{}{}", ReplicaTarget, Replica.revision());
+    const auto response =
+        co_await fetch(endpoint, HttpRequest{http::verb::get, target, 11}, PullTimeout);
+    const auto delta = response.ok() && response->result() == http::status::ok
+                           ? decodeStoreDelta(response->body())
+                           : std::nullopt;
+    if (delta)
+      apply(*delta, "peer", false);
+    else
+      Owner.eventLog().write(EventLog::Weight::Routine, "pull_failed",
+                             {{"vm", toText(*from, CallersPort)}});
+    wait = PullRetry;
+  }
+  IsPulling = false;
+}
+
+asio::awaitable<HttpResponse> FleetTask::answer(HttpRequest request) {
+  const std::string_view target = request.target();
+  const auto after = target.starts_with(ReplicaTarget)
+                         ? parseNumber<StoreRevision>(target.substr(ReplicaTarget.size()))
+                         : std::nullopt;
+  if (!after)
+    co_return HttpResponse{http::status::not_found, 11};
+  HttpResponse response{http::status::ok, 11};
+  response.set(http::field::content_type, "application/x-protobuf");
+  response.body() = encodeStoreDelta(Replica.since(*after), *after);
+  BytesSent += response.body().size();
+  co_return response;
+}
+
+void FleetTask::apply(const StoreDelta &delta, std::string_view source, bool hasLostStore) {
+  const auto changes = Replica.apply(delta, bootTimeNow());
+  Members.setRevision(Replica.revision());
+  if (hasLostStore)
+    Owner.didLoseStore(source);
+  Owner.didLearn(changes, source);
+  if (hasLostStore)
+    Owner.didRegainStore(source);
+}
+
+void FleetTask::send(const std::vector<FleetSend> &sends) {
+  for (const FleetSend &it : sends)
+    sendOne(it);
+}
+
+void FleetTask::sendOne(const FleetSend &send) {
+  std::string bytes = encodeFleetMessage(send.Message);
+  if (bytes.size() > MaxDatagramBytes && send.Message.Delta) {
+    FleetMessage smaller = send.Message;
+    smaller.Delta.reset();
+    bytes = encodeFleetMessage(smaller);
+  }
+  const asio::ip::udp::endpoint to{asio::ip::address_v4{send.To},
+                                   static_cast<std::uint16_t>(Owner.settings().FirstInternalPort)};
+  boost::system::error_code ec;
+  // A datagram that can't be sent now is replaced by the next beat.
+  Socket.send_to(asio::buffer(bytes), to, 0, ec);
+  BytesSent += bytes.size();
+}
+
+} // namespace wigeonlift
--- /dev/null
+++ b/Services/Gateway/FleetTask.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "Gateway.h"
+
+#include <LibFleet/LibFleet.h>
+#include <LibHttp/LibHttp.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace wigeonlift {
+
+/// Talks to the other VMs: datagrams about members and changes, and reads of a replica over HTTP by
+/// VMs that have fallen behind.
+class FleetTask {
+public:
+  FleetTask(Gateway &gateway, std::uint64_t seed);
+
+  /// Fails with kUnavailable when a port can't be bound.
+  absl::Status start();
+  /// Tells all VMs that this one gets no more callers.
+  void stop();
+
+  /// The store told this VM of a change.
+  void didLearn(const StoreDelta &delta, StoreRevision after);
+  void setLostStore(bool hasLost) { Members.setLostStore(hasLost); }
+  /// Whether this VM has to watch the store itself.
+  bool mustWatch() const;
+  std::vector<std::string> callersAddresses(std::string_view dataCentre);
+  const Fleet &members() const { return Members; }
+  StoreReplica &replica() { return Replica; }
+  std::uint64_t bytesSent() const { return BytesSent; }
+  std::uint64_t pulls() const { return Pulls; }
+
+private:
+  boost::asio::awaitable<void> beatRegularly();
+  boost::asio::awaitable<void> receive();
+  boost::asio::awaitable<HttpResponse> answer(HttpRequest request);
+  boost::asio::awaitable<void> pull();
+  void handle(const FleetMessage &message);
+  void apply(const StoreDelta &delta, std::string_view source, bool hasLostStore);
+  void send(const std::vector<FleetSend> &sends);
+  void sendOne(const FleetSend &send);
+
+  Gateway &Owner;
+  Fleet Members;
+  StoreReplica Replica;
+  int CallersPort = 0;
+  boost::asio::ip::udp::socket Socket;
+  HttpServer Server;
+  bool IsPulling = false;
+  std::uint64_t BytesSent = 0;
+  std::uint64_t Pulls = 0;
+};
+
+} // namespace wigeonlift
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -80,14 +80,14 @@
   return true;
 }
 
-void Gateway::didLoseStore() {
+void Gateway::didLoseStore(std::string_view source) {
   Upstreams.didLoseStore(bootTimeNow());
-  Log.write(EventLog::Weight::Important, "store_lost", {});
+  Log.write(EventLog::Weight::Important, "store_lost", {{"by", std::string{source}}});
 }
 
-void Gateway::didRegainStore() {
+void Gateway::didRegainStore(std::string_view source) {
   Upstreams.didRegainStore(bootTimeNow());
-  Log.write(EventLog::Weight::Important, "store_regained", {});
+  Log.write(EventLog::Weight::Important, "store_regained", {{"by", std::string{source}}});
 }
 
 void Gateway::setSettings(const GatewaySettings &settings) {
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -38,8 +38,8 @@
 
   /// Takes over keys of the store that have changed.
   void didLearn(std::span<const StoreItem> changes, std::string_view source);
-  void didLoseStore();
-  void didRegainStore();
+  void didLoseStore(std::string_view source);
+  void didRegainStore(std::string_view source);
   void setSettings(const GatewaySettings &settings);
   /// VMs among which the budgets of the fleet are shared.
   void setFleetSize(int vms);
@@ -65,7 +65,6 @@
   boost::asio::io_context &context() { return Context; }
   const std::map<std::string, std::shared_ptr<ServiceTask>> &services() const { return Services; }
   const UpstreamList &upstreams() const { return Upstreams; }
-  int callers = 0;
 
 private:
   void didLearnPlan(const StoreItem &item, std::string_view source);
--- a/Services/Gateway/Ports.cpp
+++ b/Services/Gateway/Ports.cpp
@@ -27,7 +27,7 @@
   return result;
 }
 
-std::string metrics(Gateway &gateway, const StoreTask &store) {
+std::string metrics(Gateway &gateway, FleetTask &fleet, const StoreTask &store) {
   MetricsText text;
   const GatewayCounts &counts = gateway.counts();
   const auto answers = [&](std::string_view outcome, std::uint64_t n) {
@@ -58,19 +58,22 @@
   text.counter("wigeonlift_store_calls_total", {{"kind", "read"}}, static_cast<double>(store.calls().Reads));
   text.counter("wigeonlift_store_calls_total", {{"kind", "watch"}}, static_cast<double>(store.calls().Watches));
   text.counter("wigeonlift_store_call_failures_total", {}, static_cast<double>(store.calls().Failed));
-  text.gauge("wigeonlift_store_revision", {}, static_cast<double>(store.replica().revision()));
+  text.gauge("wigeonlift_store_revision", {}, static_cast<double>(fleet.replica().revision()));
   text.gauge("wigeonlift_plan_version", {},
              gateway.plans().inForce() ? static_cast<double>(gateway.plans().inForce()->plan().Version) : 0);
+  text.gauge("wigeonlift_members_alive", {}, static_cast<double>(fleet.members().alive(bootTimeNow()).size()));
+  text.counter("wigeonlift_peer_bytes_sent_total", {}, static_cast<double>(fleet.bytesSent()));
+  text.counter("wigeonlift_replica_pulls_total", {}, static_cast<double>(fleet.pulls()));
   text.counter("wigeonlift_log_lines_dropped_total", {}, static_cast<double>(gateway.eventLog().dropped()));
   return text.text();
 }
 
-std::string stateDump(Gateway &gateway, const StoreTask &store) {
+std::string stateDump(Gateway &gateway, FleetTask &fleet) {
   boost::json::object state;
   state["name"] = gateway.settings().Name;
   state["ready"] = gateway.isReady();
   state["plan"] = gateway.plans().inForce() ? gateway.plans().inForce()->plan().Version : 0;
-  state["store_revision"] = store.replica().revision();
+  state["store_revision"] = fleet.replica().revision();
   boost::json::array upstreams;
   for (const auto &[id, it] : gateway.upstreams().upstreams())
     upstreams.push_back(boost::json::object{{"id", id},
@@ -109,12 +112,12 @@
   };
 }
 
-HttpHandler operatorHandler(Gateway &gateway, StoreTask &store) {
+HttpHandler operatorHandler(Gateway &gateway, FleetTask &fleet, StoreTask &store) {
   return [&](HttpRequest request) -> asio::awaitable<HttpResponse> {
     if (request.target() == "/metrics")
-      co_return response(http::status::ok, metrics(gateway, store), "text/plain; version=0.0.4");
+      co_return response(http::status::ok, metrics(gateway, fleet, store), "text/plain; version=0.0.4");
     if (request.target() == "/state")
-      co_return response(http::status::ok, stateDump(gateway, store));
+      co_return response(http::status::ok, stateDump(gateway, fleet));
     co_return response(http::status::not_found);
   };
 }
--- a/Services/Gateway/Ports.h
+++ b/Services/Gateway/Ports.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "FleetTask.h"
 #include "Gateway.h"
 #include "StoreTask.h"
 
@@ -20,6 +21,6 @@
 HttpHandler directoryHandler(Gateway &gateway, DirectoryLookup lookup);
 
 /// Serves metrics under /metrics and the state dump under /state.
-HttpHandler operatorHandler(Gateway &gateway, StoreTask &store);
+HttpHandler operatorHandler(Gateway &gateway, FleetTask &fleet, StoreTask &store);
 
 } // namespace wigeonlift
--- a/Services/Gateway/StoreTask.cpp
+++ b/Services/Gateway/StoreTask.cpp
@@ -21,19 +21,29 @@
 constexpr Duration WatchTimeout = std::chrono::milliseconds{3800};
 // Changes that come in series are fetched with one call.
 constexpr Duration FoldSpan = std::chrono::milliseconds{500};
+// How often a VM that depends on another one's watch looks whether it still may.
+constexpr Duration FollowInterval = std::chrono::milliseconds{300};
+// Entries that lapsed while the store was away return within this time.
+constexpr Duration LapseSpan = std::chrono::milliseconds{2200};
 constexpr Duration FirstRetry = std::chrono::milliseconds{200};
 constexpr Duration MaxRetry = std::chrono::milliseconds{1000};
 
 } // namespace
 
-StoreTask::StoreTask(Gateway &gateway, std::uint64_t seed)
-    : Owner(gateway), Client(*parseEndpoint(gateway.settings().StoreAddress)), Rng(seed),
+StoreTask::StoreTask(Gateway &gateway, FleetTask &fleet, std::uint64_t seed)
+    : Owner(gateway), Peers(fleet), Client(*parseEndpoint(gateway.settings().StoreAddress)), Rng(seed),
       Timer(gateway.context()) {}
 
 void StoreTask::start() { asio::co_spawn(Owner.context(), run(), asio::detached); }
 
 asio::awaitable<void> StoreTask::run() {
   while (true) {
+    if (!IsLost && bootTimeNow() - RegainedAt > LapseSpan)
+      Peers.setLostStore(false);
+    if (!MustReadAll && !Peers.mustWatch()) {
+      co_await pause(FollowInterval);
+      continue;
+    }
     const bool isRead = MustReadAll ? co_await readAll() : co_await watch();
     if (isRead) {
       Failures = 0;
@@ -50,18 +60,20 @@
 }
 
 asio::awaitable<bool> StoreTask::readAll() {
+  const StoreRevision before = Peers.replica().revision();
   const auto delta = co_await Client.readAll(ReadTimeout);
   if (!delta.ok()) {
     didFail(delta.status(), "read");
     co_return false;
   }
   MustReadAll = false;
-  didRead(*delta);
+  didRead(*delta, before);
   co_return true;
 }
 
 asio::awaitable<bool> StoreTask::watch() {
-  const auto delta = co_await Client.watch(Replica.revision(), WatchWait, WatchTimeout);
+  const StoreRevision after = Peers.replica().revision();
+  const auto delta = co_await Client.watch(after, WatchWait, WatchTimeout);
   if (!delta.ok()) {
     // What happened in the gap is only seen by reading everything.
     if (delta.status().code() == absl::StatusCode::kOutOfRange)
@@ -69,7 +81,7 @@
     didFail(delta.status(), "watch");
     co_return MustReadAll;
   }
-  didRead(*delta);
+  didRead(*delta, after);
   co_return true;
 }
 
@@ -78,23 +90,25 @@
   co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
-void StoreTask::didRead(const StoreDelta &delta) {
+void StoreTask::didRead(const StoreDelta &delta, StoreRevision after) {
   if (IsLost) {
     IsLost = false;
-    Owner.didRegainStore();
+    RegainedAt = bootTimeNow();
+    Owner.didRegainStore("store");
   }
-  Owner.didLearn(Replica.apply(delta, bootTimeNow()), "store");
+  Peers.didLearn(delta, after);
 }
 
 void StoreTask::didFail(const absl::Status &status, std::string_view what) {
   Owner.eventLog().write(EventLog::Weight::Important, "store_call_failed",
                          {{"call", std::string{what}},
                           {"why", status.ToString()},
-                          {"rev", fmt::format("{}", Replica.revision())}});
+                          {"rev", fmt::format("{}", Peers.replica().revision())}});
   if (status.code() == absl::StatusCode::kOutOfRange || IsLost)
     return;
   IsLost = true;
-  Owner.didLoseStore();
+  Peers.setLostStore(true);
+  Owner.didLoseStore("store");
 }
 
 } // namespace wigeonlift
--- a/Services/Gateway/StoreTask.h
+++ b/Services/Gateway/StoreTask.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "FleetTask.h"
 #include "Gateway.h"
 
 #include <platform/Platform.h>
@@ -9,13 +10,12 @@
 
 namespace wigeonlift {
 
-/// Keeps the replica of the store up to date.
+/// Keeps the replica of the store up to date, where other VMs don't do that for this one.
 class StoreTask {
 public:
-  StoreTask(Gateway &gateway, std::uint64_t seed);
+  StoreTask(Gateway &gateway, FleetTask &fleet, std::uint64_t seed);
 
   void start();
-  const StoreReplica &replica() const { return Replica; }
   const platform::StoreCalls &calls() const { return Client.calls(); }
 
 private:
@@ -23,16 +23,17 @@
   boost::asio::awaitable<bool> readAll();
   boost::asio::awaitable<bool> watch();
   boost::asio::awaitable<void> pause(Duration span);
-  void didRead(const StoreDelta &delta);
+  void didRead(const StoreDelta &delta, StoreRevision after);
   void didFail(const absl::Status &status, std::string_view what);
 
   Gateway &Owner;
+  FleetTask &Peers;
   platform::StoreClient Client;
-  StoreReplica Replica;
   Random Rng;
   boost::asio::steady_timer Timer;
   bool MustReadAll = true;
   bool IsLost = false;
+  TimePoint RegainedAt{};
   int Failures = 0;
 };
 
