LibDiscovery: Hold removals back only when no VM reaches the store

Ruled out: a lost datagram (the VM had the revision). The mark now follows from what all readers say.

--- a/Libraries/LibDiscovery/UpstreamList.cpp
+++ b/Libraries/LibDiscovery/UpstreamList.cpp
@@ -29,13 +29,12 @@
   return hasChanged;
 }
 
-bool UpstreamList::didRemove(std::string_view id, TimePoint now) {
+bool UpstreamList::didRemove(std::string_view id, bool mayBeLapse, TimePoint now) {
   const auto it = Upstreams.find(id);
   if (it == Upstreams.end())
     return false;
-  const bool mayLapse = IsStoreAway || now < BackAt + LapseGrace;
-  if (mayLapse && !it->second.IsDraining) {
-    Lapsed.emplace(it->first, std::max(now, BackAt) + LapseGrace);
+  if (mayBeLapse && !it->second.IsDraining) {
+    Lapsed.emplace(it->first, now + LapseGrace);
     return false;
   }
   Lapsed.erase(it->first);
@@ -43,16 +42,6 @@
   return true;
 }
 
-void UpstreamList::didLoseStore(TimePoint) { IsStoreAway = true; }
-
-void UpstreamList::didRegainStore(TimePoint now) {
-  if (!std::exchange(IsStoreAway, false))
-    return;
-  BackAt = now;
-  for (auto &[id, until] : Lapsed)
-    until = std::min(until, now + LapseGrace);
-}
-
 bool UpstreamList::expire(TimePoint now) {
   const auto isOver = [&](const auto &it) { return now >= it.second; };
   bool hasChanged = false;
--- a/Libraries/LibDiscovery/UpstreamList.h
+++ b/Libraries/LibDiscovery/UpstreamList.h
@@ -34,17 +34,14 @@
 
 /// The upstreams of all services that take new work, by what the store says.
 ///
-/// An upstream whose entry is removed leaves at once. The exception are entries that lapsed while
-/// the store was away: they leave when they are still missing some time after its return.
+/// An upstream whose entry is removed leaves at once. The exception are entries that may have lapsed
+/// while no VM reached the store: they leave when they are still missing after a while.
 class UpstreamList {
 public:
   /// An entry was written. Returns whether anything but the remaining warm-up changed.
   bool didWrite(UpstreamRecord record, TimePoint now);
-  /// An entry was removed, or can't be read any more.
-  bool didRemove(std::string_view id, TimePoint now);
-  /// Removals from now on may be lapses, until the store is back for long enough.
-  void didLoseStore(TimePoint now);
-  void didRegainStore(TimePoint now);
+  /// An entry was removed, or can't be read any more. Returns whether the upstream has left.
+  bool didRemove(std::string_view id, bool mayBeLapse, TimePoint now);
   /// Drops lapsed upstreams whose time is over. Returns whether any was dropped.
   bool expire(TimePoint now);
   std::optional<TimePoint> nextExpiry() const;
@@ -57,8 +54,6 @@
   std::map<std::string, UpstreamRecord, std::less<>> Upstreams;
   /// Removed entries that may return, and until when.
   std::map<std::string, TimePoint, std::less<>> Lapsed;
-  bool IsStoreAway = false;
-  TimePoint BackAt{};
 };
 
 } // namespace wigeonlift
--- a/Libraries/LibFleet/Fleet.cpp
+++ b/Libraries/LibFleet/Fleet.cpp
@@ -146,6 +146,18 @@
   });
 }
 
+bool Fleet::isStoreAway(TimePoint now) const {
+  std::set<std::string> dataCentres{Self.DataCentre};
+  for (const auto &[ip, peer] : Peers)
+    if (isAlive(peer, now))
+      dataCentres.insert(peer.Vm.DataCentre);
+  const auto isCutOff = [&](const std::string &dataCentre) {
+    const auto readers = readersOf(dataCentre, now);
+    return std::ranges::all_of(readers, &FleetVm::HasLostStore);
+  };
+  return std::ranges::all_of(dataCentres, isCutOff);
+}
+
 std::optional<VmAddress> Fleet::ahead(StoreRevision revision, TimePoint now) {
   std::vector<const Peer *> near;
   std::vector<const Peer *> far;
--- a/Libraries/LibFleet/Fleet.h
+++ b/Libraries/LibFleet/Fleet.h
@@ -53,6 +53,8 @@
   bool isReader(TimePoint now) const;
   /// Whether a near VM that isn't this one watches the store with success.
   bool hasWorkingReader(TimePoint now) const;
+  /// Whether no reader of any data centre has reached the store for a while.
+  bool isStoreAway(TimePoint now) const;
   /// A VM whose replica is ahead of a revision, a near one if there is one.
   std::optional<VmAddress> ahead(StoreRevision revision, TimePoint now);
   /// VMs among which budgets are shared. Those that have fallen silent count for a while, since they
--- a/Services/Gateway/FleetTask.cpp
+++ b/Services/Gateway/FleetTask.cpp
@@ -83,7 +83,7 @@
 void FleetTask::stop() { send(Members.stop(bootTimeNow())); }
 
 void FleetTask::didLearn(const StoreDelta &delta, StoreRevision after) {
-  apply(delta, "store", false);
+  apply(delta, "store");
   const TimePoint now = bootTimeNow();
   if (Replica.revision() > after)
     send(Members.spread(delta, after, Members.isReader(now), now));
@@ -136,7 +136,7 @@
   send(Members.didHear(message, now));
   if (message.Delta && Replica.revision() >= message.DeltaAfter &&
       message.Delta->AsOf > Replica.revision())
-    apply(*message.Delta, "peer", message.Sender.HasLostStore);
+    apply(*message.Delta, "peer");
   if (!IsPulling && Members.ahead(Replica.revision(), now)) {
     IsPulling = true;
     asio::co_spawn(Owner.context(), pull(), asio::detached);
@@ -161,7 +161,7 @@
                            ? decodeStoreDelta(response->body())
                            : std::nullopt;
     if (delta)
-      apply(*delta, "peer", false);
+      apply(*delta, "peer");
     else
       Owner.eventLog().write(EventLog::Weight::Routine, "pull_failed",
                              {{"vm", toText(*from, CallersPort)}});
@@ -184,14 +184,11 @@
   co_return response;
 }
 
-void FleetTask::apply(const StoreDelta &delta, std::string_view source, bool hasLostStore) {
-  const auto changes = Replica.apply(delta, bootTimeNow());
+void FleetTask::apply(const StoreDelta &delta, std::string_view source) {
+  const TimePoint now = bootTimeNow();
+  const auto changes = Replica.apply(delta, now);
   Members.setRevision(Replica.revision());
-  if (hasLostStore)
-    Owner.didLoseStore(source);
-  Owner.didLearn(changes, source);
-  if (hasLostStore)
-    Owner.didRegainStore(source);
+  Owner.didLearn(changes, source, Members.isStoreAway(now));
 }
 
 void FleetTask::send(const std::vector<FleetSend> &sends) {
--- a/Services/Gateway/FleetTask.h
+++ b/Services/Gateway/FleetTask.h
@@ -44,7 +44,7 @@
   boost::asio::awaitable<HttpResponse> answer(HttpRequest request);
   boost::asio::awaitable<void> pull();
   void handle(const FleetMessage &message);
-  void apply(const StoreDelta &delta, std::string_view source, bool hasLostStore);
+  void apply(const StoreDelta &delta, std::string_view source);
   void send(const std::vector<FleetSend> &sends);
   void sendOne(const FleetSend &send);
 
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -24,7 +24,8 @@
     : Context(context), Settings(settings), Log(log), Requests(log), Seed(seed), Rng(seed),
       MaintainedAt(bootTimeNow()) {}
 
-void Gateway::didLearn(std::span<const StoreItem> changes, std::string_view source) {
+void Gateway::didLearn(std::span<const StoreItem> changes, std::string_view source,
+                       bool mayBeLapses) {
   const TimePoint now = bootTimeNow();
   bool hasChanged = false;
   for (const StoreItem &it : changes) {
@@ -32,7 +33,7 @@
       didLearnPlan(it, source);
       hasChanged = true;
     } else if (const auto id = platform::upstreamIdOf(it.Key)) {
-      hasChanged |= didLearnUpstream(it, *id, now);
+      hasChanged |= didLearnUpstream(it, *id, mayBeLapses, now);
     }
   }
   if (hasChanged)
@@ -60,10 +61,11 @@
              {"from", std::string{source}}});
 }
 
-bool Gateway::didLearnUpstream(const StoreItem &item, std::string_view id, TimePoint now) {
+bool Gateway::didLearnUpstream(const StoreItem &item, std::string_view id, bool mayBeLapse,
+                               TimePoint now) {
   auto record = item.IsRemoved ? std::nullopt : platform::decodeUpstream(id, item.Value);
   if (!record) {
-    if (!Upstreams.didRemove(id, now))
+    if (!Upstreams.didRemove(id, mayBeLapse, now))
       return false;
     Log.write(EventLog::Weight::Important, item.IsRemoved ? "upstream_gone" : "upstream_unreadable",
               {{"up", std::string{id}}, {"rev", fmt::format("{}", item.Revision)}});
@@ -80,16 +82,6 @@
   return true;
 }
 
-void Gateway::didLoseStore(std::string_view source) {
-  Upstreams.didLoseStore(bootTimeNow());
-  Log.write(EventLog::Weight::Important, "store_lost", {{"by", std::string{source}}});
-}
-
-void Gateway::didRegainStore(std::string_view source) {
-  Upstreams.didRegainStore(bootTimeNow());
-  Log.write(EventLog::Weight::Important, "store_regained", {{"by", std::string{source}}});
-}
-
 void Gateway::setSettings(const GatewaySettings &settings) {
   Settings = settings;
   shareBudgets();
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -36,10 +36,9 @@
   Gateway(boost::asio::io_context &context, const GatewaySettings &settings, EventLog &log,
           std::uint64_t seed);
 
-  /// Takes over keys of the store that have changed.
-  void didLearn(std::span<const StoreItem> changes, std::string_view source);
-  void didLoseStore(std::string_view source);
-  void didRegainStore(std::string_view source);
+  /// Takes over keys of the store that have changed. Removals may be lapses when no VM has reached
+  /// the store for a while.
+  void didLearn(std::span<const StoreItem> changes, std::string_view source, bool mayBeLapses);
   void setSettings(const GatewaySettings &settings);
   /// VMs among which the budgets of the fleet are shared.
   void setFleetSize(int vms);
@@ -68,7 +67,7 @@
 
 private:
   void didLearnPlan(const StoreItem &item, std::string_view source);
-  bool didLearnUpstream(const StoreItem &item, std::string_view id, TimePoint now);
+  bool didLearnUpstream(const StoreItem &item, std::string_view id, bool mayBeLapse, TimePoint now);
   void refreshServices();
   void shareBudgets();
 
--- a/Services/Gateway/StoreTask.cpp
+++ b/Services/Gateway/StoreTask.cpp
@@ -41,6 +41,7 @@
     if (!IsLost && bootTimeNow() - RegainedAt > LapseSpan)
       Peers.setLostStore(false);
     if (!MustReadAll && !Peers.mustWatch()) {
+      IsLost = false;
       co_await pause(FollowInterval);
       continue;
     }
@@ -94,7 +95,7 @@
   if (IsLost) {
     IsLost = false;
     RegainedAt = bootTimeNow();
-    Owner.didRegainStore("store");
+    Owner.eventLog().write(EventLog::Weight::Important, "store_regained", {});
   }
   Peers.didLearn(delta, after);
 }
@@ -108,7 +109,7 @@
     return;
   IsLost = true;
   Peers.setLostStore(true);
-  Owner.didLoseStore("store");
+  Owner.eventLog().write(EventLog::Weight::Important, "store_lost", {});
 }
 
 } // namespace wigeonlift
