--- a/Libraries/LibBalance/Attempts.cpp
+++ b/Libraries/LibBalance/Attempts.cpp
@@ -23,6 +23,7 @@
 constexpr double SlowEnoughToHedge = 1.5;
 
 // Callers that come back sooner than this find the same queue.
+constexpr Duration ShedRetryAfter = std::chrono::milliseconds{10};
 constexpr Duration MinRetryAfter = std::chrono::milliseconds{100};
 constexpr Duration MaxRetryAfter = std::chrono::milliseconds{2000};
 constexpr double RetryAfterShareOfTime = 0.3;
@@ -44,7 +45,7 @@
     const bool isRepeat = it->second.IsRepeat;
     dropAttempt(id);
     if (isGone && (!isRepeat || Repeats.hasRoom(now)))
-      requeue(request, now, out);
+      requeue(request);
     else
       settle(request, FailureKind::UpstreamUnreachable, now, out);
     return false;
@@ -92,7 +93,7 @@
   if (facts.Kind == AnswerKind::NotRun) {
     --request.PossibleRuns;
     if (request.Running.empty() && mayRepeat(request, now))
-      requeue(request, now, out);
+      requeue(request);
     else
       settle(request, FailureKind::UpstreamRefused, now, out);
     pump(now, out);
@@ -100,7 +101,7 @@
   }
   const bool isOwn = facts.Kind == AnswerKind::UpstreamFailure;
   if (!isOnce && request.Running.empty() && mayRepeat(request, now)) {
-    requeue(request, now, out);
+    requeue(request);
     pump(now, out);
     return AnswerUse::Drop;
   }
@@ -133,7 +134,7 @@
   if (!wasSent && attempt.IsSent)
     --request.PossibleRuns;
   if ((!wasSent || !isOnce) && request.Running.empty() && mayRepeat(request, now))
-    requeue(request, now, out);
+    requeue(request);
   else
     settle(request, wasSent ? FailureKind::ConnectionLost : FailureKind::UpstreamUnreachable, now,
            out);
@@ -151,17 +152,21 @@
   Attempts.erase(it);
 }
 
-bool ServiceBalancer::mayRepeat(const Request &request, TimePoint now) const {
-  return static_cast<int>(request.Tried.size()) < request.Spec.MaxAttempts &&
-         Repeats.hasRoom(now) && now + work(request) < request.Spec.Deadline;
+bool ServiceBalancer::mayRepeat(const Request &request, TimePoint now) {
+  if (static_cast<int>(request.Tried.size()) >= request.Spec.MaxAttempts ||
+      now + work(request) >= request.Spec.Deadline)
+    return false;
+  if (Repeats.hasRoom(now))
+    return true;
+  ++Counts.RepeatsDenied;
+  return false;
 }
 
-void ServiceBalancer::requeue(Request &request, TimePoint now, BalanceCommands &) {
+void ServiceBalancer::requeue(Request &request) {
   request.IsQueued = true;
   request.WantsHedge = false;
   request.HedgeAt = TimePoint::max();
   request.Rounds = 0;
-  request.NextRoundAt = now;
   Queue.insert(request.Spec.Id);
 }
 
@@ -178,7 +183,8 @@
   ++Counts.Refusals;
   const Failure failure{.Kind = kind,
                         .Executed = request.PossibleRuns > 0 ? Execution::Unknown : Execution::NotRun,
-                        .RetryAfter = request.PossibleRuns > 0 ? Duration{} : retryAfter(request, now)};
+                        .RetryAfter =
+                            request.PossibleRuns > 0 ? Duration{} : retryAfter(request, kind, now)};
   const CallId id = request.Spec.Id;
   end(request, out);
   out.push_back(RefuseRequest{.Call = id, .Reason = failure});
@@ -236,8 +242,7 @@
     request.IsQueued = true;
     request.WantsHedge = true;
     request.Rounds = 0;
-    request.NextRoundAt = now;
-    Queue.insert(request.Spec.Id);
+      Queue.insert(request.Spec.Id);
     return;
   }
   // Asks whether the upstream has turned slow, and looks at the answer in a moment.
@@ -250,7 +255,11 @@
   request.HedgeAt = now + usual <= request.Spec.Objective ? again : std::max(silent, again);
 }
 
-Duration ServiceBalancer::retryAfter(const Request &request, TimePoint now) const {
+Duration ServiceBalancer::retryAfter(const Request &request, FailureKind kind,
+                                     TimePoint now) const {
+  // Upstreams that shed some of their requests may take the next one.
+  if (kind == FailureKind::UpstreamRefused)
+    return ShedRetryAfter;
   const Duration left = request.Spec.Deadline - now;
   const Duration latest = fromSeconds(RetryAfterShareOfTime * toSeconds(left));
   return std::clamp(latest, MinRetryAfter, MaxRetryAfter);
--- a/Libraries/LibBalance/Placement.cpp
+++ b/Libraries/LibBalance/Placement.cpp
@@ -10,7 +10,10 @@
 constexpr int ProbesPerRound = 3;
 // Rounds of probes after which a request takes an upstream that isn't idle and fast.
 constexpr int RoundsForGood = 2;
-constexpr Duration RoundInterval = std::chrono::milliseconds{15};
+// Rounds that find nothing are followed by longer and longer pauses.
+constexpr Duration FirstRoundInterval = std::chrono::milliseconds{2};
+constexpr Duration LastRoundInterval = std::chrono::milliseconds{16};
+constexpr int MaxDoublings = 3;
 // Probes answer within a round trip; a request doesn't wait longer for the rest of them.
 constexpr Duration ProbePatience = std::chrono::milliseconds{6};
 // Work at an upstream whose slots are nearly all taken.
@@ -76,23 +79,26 @@
     start(request, *found, now, out);
     return true;
   }
-  if (awaitsProbes(now)) {
-    request.NextRoundAt = std::max(request.NextRoundAt, now + ProbePatience);
+  if (awaitsProbes(now))
     return false;
+  const bool mayTake = found && isAcceptable(*found, request, now);
+  if (mayTake && request.Rounds >= RoundsForGood) {
+    start(request, *found, now, out);
+    return true;
   }
-  const bool mayAsk = request.Rounds < RoundsForGood || now >= request.NextRoundAt;
-  if (mayAsk && askSome(request, now, out) > 0) {
+  if (now < NextRoundAt)
+    return false;
+  if (askSome(request, now, out) > 0) {
     ++request.Rounds;
-    request.NextRoundAt = now + (request.Rounds < RoundsForGood ? ProbePatience : RoundInterval);
+    const int doublings = std::min(FruitlessRounds++, MaxDoublings);
+    NextRoundAt = now + std::max(ProbePatience, FirstRoundInterval * (1 << doublings));
     return false;
   }
-  if (found && isAcceptable(*found, request, now)) {
-    start(request, *found, now, out);
-    return true;
-  }
-  if (now >= request.NextRoundAt)
-    request.NextRoundAt = now + RoundInterval;
-  return false;
+  NextRoundAt = now + LastRoundInterval;
+  if (!mayTake)
+    return false;
+  start(request, *found, now, out);
+  return true;
 }
 
 std::optional<ServiceBalancer::Candidate> ServiceBalancer::best(const Request &request,
@@ -178,6 +184,7 @@
   request.IsQueued = false;
   request.WantsHedge = false;
   Queue.erase(request.Spec.Id);
+  FruitlessRounds = 0;
   armHedge(request, candidate, now);
   out.push_back(SendRequest{.Attempt = id, .Call = request.Spec.Id, .Upstream = attempt.Upstream});
 }
@@ -207,9 +214,10 @@
 }
 
 bool ServiceBalancer::ask(UpstreamView &view, TimePoint now, BalanceCommands &out) {
-  ProbeRate.refill(now);
-  if (!ProbeRate.take(now))
+  if (!ProbeRate.take(now)) {
+    ++Counts.ProbesDenied;
     return false;
+  }
   const ProbeId id{++LastProbe};
   view.Probe = id;
   view.ProbedAt = now;
--- a/Libraries/LibBalance/ServiceBalancer.cpp
+++ b/Libraries/LibBalance/ServiceBalancer.cpp
@@ -8,6 +8,8 @@
 
 // Upstreams answer probes within a round trip; a longer silence is a sign of trouble.
 constexpr Duration ProbeTimeout = std::chrono::milliseconds{120};
+// Probes saved in quiet seconds serve the heavy ones.
+constexpr Duration ProbeSpan = std::chrono::seconds{8};
 constexpr double SilentProbeTrouble = 1.0;
 constexpr double FailedProbeTrouble = 1.0;
 constexpr double SlownessGain = 0.02;
@@ -36,7 +38,7 @@
 }
 
 void ServiceBalancer::setProbeRate(double probesPerSecond, TimePoint now) {
-  ProbeRate.setRate(probesPerSecond, now);
+  ProbeRate.setRate(probesPerSecond, ProbeSpan, now);
 }
 
 void ServiceBalancer::requestArrived(const RequestSpec &spec, TimePoint now,
@@ -127,9 +129,9 @@
   const auto consider = [&](TimePoint at) { next = std::min(next.value_or(at), at); };
   for (const auto &[id, request] : Requests) {
     consider(std::min(request.Spec.Deadline, request.HedgeAt));
-    if (request.IsQueued)
-      consider(request.NextRoundAt);
   }
+  if (!Queue.empty())
+    consider(NextRoundAt);
   for (const auto &[index, view] : Upstreams)
     if (view.Probe)
       consider(view.ProbedAt + ProbeTimeout);
--- a/Libraries/LibBalance/ServiceBalancer.h
+++ b/Libraries/LibBalance/ServiceBalancer.h
@@ -22,11 +22,12 @@
   std::uint64_t Hedges = 0;
   std::uint64_t HedgeWins = 0;
   std::uint64_t Probes = 0;
+  /// Probes that the rate did not allow, and repeats that the budget did not.
+  std::uint64_t ProbesDenied = 0;
+  std::uint64_t RepeatsDenied = 0;
   std::uint64_t Refusals = 0;
   /// Attempts sent to an upstream whose last report said that it was slow.
   std::uint64_t SentToSlow = 0;
-  /// Attempts sent without a fresh report.
-  std::uint64_t SentBlind = 0;
 };
 
 /// How an attempt was chosen, for logs.
@@ -78,6 +79,9 @@
 
   const BalanceCounts &counts() const { return Counts; }
   std::optional<ChoiceFacts> choice(AttemptId id) const;
+  Duration typicalWork() const { return Work.mean(); }
+  double typicalSlowness() const { return TypicalSlowness; }
+  double repeatRoom(TimePoint now) const { return Repeats.room(now); }
   std::size_t queued() const { return Queue.size(); }
   std::size_t running() const { return Attempts.size(); }
 
@@ -91,7 +95,6 @@
     /// Attempts that were written and are not known to have been rejected.
     int PossibleRuns = 0;
     int Rounds = 0;
-    TimePoint NextRoundAt{};
     TimePoint HedgeAt = TimePoint::max();
   };
   struct Attempt {
@@ -133,15 +136,15 @@
   // Ends of attempts and requests.
   UpstreamView *view(UpstreamIndex index);
   void dropAttempt(AttemptId id);
-  void requeue(Request &request, TimePoint now, BalanceCommands &out);
+  void requeue(Request &request);
   void settle(Request &request, FailureKind kind, TimePoint now, BalanceCommands &out);
   void refuse(Request &request, FailureKind kind, TimePoint now, BalanceCommands &out);
   void end(Request &request, BalanceCommands &out);
-  bool mayRepeat(const Request &request, TimePoint now) const;
+  bool mayRepeat(const Request &request, TimePoint now);
   void checkDeadline(Request &request, TimePoint now, BalanceCommands &out);
   void checkHedge(Request &request, TimePoint now, BalanceCommands &out);
   void armHedge(Request &request, const Candidate &candidate, TimePoint now);
-  Duration retryAfter(const Request &request, TimePoint now) const;
+  Duration retryAfter(const Request &request, FailureKind kind, TimePoint now) const;
 
   Random Rng;
   std::map<UpstreamIndex, UpstreamView> Upstreams;
@@ -151,7 +154,10 @@
   std::map<ProbeId, UpstreamIndex> Probes;
   WorkEstimate Work;
   RepeatBudget Repeats;
-  RateLimit ProbeRate;
+  TokenBucket ProbeRate;
+  /// Rounds of probes since the last one that brought a request to an upstream.
+  int FruitlessRounds = 0;
+  TimePoint NextRoundAt{};
   /// Mean of the factors by which upstreams were slower than usual.
   double TypicalSlowness = 1.5;
   std::uint64_t LastAttempt = 0;
--- a/Libraries/LibBalance/WorkEstimate.cpp
+++ b/Libraries/LibBalance/WorkEstimate.cpp
@@ -30,6 +30,16 @@
   return it == Kinds.end() ? 0 : it->second.Bytes;
 }
 
+Duration WorkEstimate::mean() const {
+  double sum = 0;
+  double samples = 0;
+  for (const auto &[id, it] : Kinds) {
+    sum += it.Seconds * it.Samples;
+    samples += it.Samples;
+  }
+  return fromSeconds(samples == 0 ? 0 : sum / samples);
+}
+
 void WorkEstimate::didAnswer(std::uint32_t kind, Duration span, double slowness,
                              std::size_t bytes) {
   Kind &known = Kinds[kind];
--- a/Libraries/LibBalance/WorkEstimate.h
+++ b/Libraries/LibBalance/WorkEstimate.h
@@ -14,6 +14,8 @@
   /// Time of work without slowness. Before the first answer it is derived from the objective.
   Duration work(std::uint32_t kind, Duration objective) const;
   double bytes(std::uint32_t kind) const;
+  /// Mean over the kinds seen.
+  Duration mean() const;
   /// An answer arrived after `span` from an upstream that was slower than usual by the factor.
   void didAnswer(std::uint32_t kind, Duration span, double slowness, std::size_t bytes);
 
--- a/Libraries/LibBudget/LibBudget.h
+++ b/Libraries/LibBudget/LibBudget.h
@@ -6,3 +6,4 @@
 #include <LibBudget/ProbeShare.h>
 #include <LibBudget/RateLimit.h>
 #include <LibBudget/RepeatBudget.h>
+#include <LibBudget/TokenBucket.h>
--- a/Libraries/LibDiscovery/UpstreamList.cpp
+++ b/Libraries/LibDiscovery/UpstreamList.cpp
@@ -9,6 +9,8 @@
 
 // Upstreams that live register again within about 2 s of the store's return.
 constexpr Duration LapseGrace = std::chrono::milliseconds{2200};
+// Short enough that an upstream that has left gets no new work after the drain timeout.
+constexpr Duration DoubtGrace = std::chrono::milliseconds{900};
 
 } // namespace
 
@@ -29,12 +31,12 @@
   return hasChanged;
 }
 
-bool UpstreamList::didRemove(std::string_view id, bool mayBeLapse, TimePoint now) {
+bool UpstreamList::didRemove(std::string_view id, Removal removal, TimePoint now) {
   const auto it = Upstreams.find(id);
   if (it == Upstreams.end())
     return false;
-  if (mayBeLapse && !it->second.IsDraining) {
-    Lapsed.emplace(it->first, now + LapseGrace);
+  if (removal != Removal::Final && !it->second.IsDraining) {
+    Lapsed.emplace(it->first, now + (removal == Removal::ProbableLapse ? LapseGrace : DoubtGrace));
     return false;
   }
   Lapsed.erase(it->first);
--- a/Libraries/LibDiscovery/UpstreamList.h
+++ b/Libraries/LibDiscovery/UpstreamList.h
@@ -32,16 +32,25 @@
   }
 };
 
+/// What the removal of an entry may mean.
+enum class Removal : std::uint8_t {
+  Final,
+  /// Some VMs don't reach the store, so the entry may have lapsed; it is given a short while.
+  PossibleLapse,
+  /// No VM reached the store, so the entry has probably lapsed.
+  ProbableLapse,
+};
+
 /// The upstreams of all services that take new work, by what the store says.
 ///
 /// An upstream whose entry is removed leaves at once. The exception are entries that may have lapsed
-/// while no VM reached the store: they leave when they are still missing after a while.
+/// while the store was out of reach: they leave when they are still missing after a while.
 class UpstreamList {
 public:
   /// An entry was written. Returns whether anything but the remaining warm-up changed.
   bool didWrite(UpstreamRecord record, TimePoint now);
   /// An entry was removed, or can't be read any more. Returns whether the upstream has left.
-  bool didRemove(std::string_view id, bool mayBeLapse, TimePoint now);
+  bool didRemove(std::string_view id, Removal removal, TimePoint now);
   /// Drops lapsed upstreams whose time is over. Returns whether any was dropped.
   bool expire(TimePoint now);
   std::optional<TimePoint> nextExpiry() const;
--- a/Libraries/LibFleet/Fleet.cpp
+++ b/Libraries/LibFleet/Fleet.cpp
@@ -28,6 +28,8 @@
 constexpr int AssumedFleet = 12;
 constexpr Duration AssumeSpan = std::chrono::seconds{3};
 constexpr std::size_t ReadersPerDataCentre = 1;
+// A VM that the store answered within this time reaches it.
+constexpr Duration RecentContact = std::chrono::milliseconds{1500};
 
 std::uint64_t mix(std::uint64_t value) {
   value ^= value >> 33;
@@ -61,7 +63,14 @@
   return sends;
 }
 
+void Fleet::refreshSelf(TimePoint now) {
+  constexpr Duration longest = std::chrono::hours{1};
+  Self.ContactAgeMs =
+      static_cast<std::uint32_t>(toMilliseconds(std::min(longest, now - ContactAt)));
+}
+
 std::vector<FleetSend> Fleet::tick(TimePoint now) {
+  refreshSelf(now);
   ++Ticks;
   ++Self.Beat;
   std::erase_if(Peers, [&](const auto &it) { return now - it.second.HeardAt > ForgetAfter; });
@@ -146,16 +155,21 @@
   });
 }
 
-bool Fleet::isStoreAway(TimePoint now) const {
-  std::set<std::string> dataCentres{Self.DataCentre};
-  for (const auto &[ip, peer] : Peers)
-    if (isAlive(peer, now))
-      dataCentres.insert(peer.Vm.DataCentre);
-  const auto isCutOff = [&](const std::string &dataCentre) {
-    const auto readers = readersOf(dataCentre, now);
-    return std::ranges::all_of(readers, &FleetVm::HasLostStore);
-  };
-  return std::ranges::all_of(dataCentres, isCutOff);
+StoreAbsence Fleet::storeAbsence(TimePoint now) const {
+  std::map<std::string, bool> isCutOff{{Self.DataCentre, Self.HasLostStore}};
+  bool someHaveContact = !Self.HasLostStore && now - ContactAt < RecentContact;
+  for (const auto &[ip, peer] : Peers) {
+    if (!isAlive(peer, now))
+      continue;
+    isCutOff[peer.Vm.DataCentre] |= peer.Vm.HasLostStore;
+    const Duration age = now - peer.HeardAt + std::chrono::milliseconds{peer.Vm.ContactAgeMs};
+    someHaveContact |= !peer.Vm.HasLostStore && age < RecentContact;
+  }
+  const auto count = std::ranges::count_if(isCutOff, [](const auto &it) { return it.second; });
+  if (count == 0)
+    return StoreAbsence::None;
+  const bool isEverywhere = count == std::ssize(isCutOff);
+  return isEverywhere && !someHaveContact ? StoreAbsence::Certain : StoreAbsence::Possible;
 }
 
 std::optional<VmAddress> Fleet::ahead(StoreRevision revision, TimePoint now) {
--- a/Libraries/LibFleet/Fleet.h
+++ b/Libraries/LibFleet/Fleet.h
@@ -17,6 +17,13 @@
   FleetMessage Message;
 };
 
+/// What the VMs together say of the store.
+enum class StoreAbsence : std::uint8_t {
+  None,
+  Possible, ///< Some VMs don't reach it; whether others do is not known.
+  Certain,  ///< No data centre reaches it, or did so until a moment ago.
+};
+
 /// What this VM knows of the other VMs. Each VM sends a datagram to a near VM every beat and to a
 /// far one now and then; rows spread from VM to VM, and a row whose beat stands still is dead.
 /// Performs no I/O.
@@ -34,6 +41,7 @@
   void setReady(bool isReady) { Self.IsReady = isReady; }
   void setRevision(StoreRevision revision) { Self.Revision = revision; }
   void setLostStore(bool hasLost) { Self.HasLostStore = hasLost; }
+  void didReachStore(TimePoint now) { ContactAt = now; }
   /// This VM stops: tells all at once.
   std::vector<FleetSend> stop(TimePoint now);
 
@@ -53,8 +61,7 @@
   bool isReader(TimePoint now) const;
   /// Whether a near VM that isn't this one watches the store with success.
   bool hasWorkingReader(TimePoint now) const;
-  /// Whether no reader of any data centre has reached the store for a while.
-  bool isStoreAway(TimePoint now) const;
+  StoreAbsence storeAbsence(TimePoint now) const;
   /// A VM whose replica is ahead of a revision, a near one if there is one.
   std::optional<VmAddress> ahead(StoreRevision revision, TimePoint now);
   /// VMs among which budgets are shared. Those that have fallen silent count for a while, since they
@@ -74,6 +81,7 @@
 
   bool isAlive(const Peer &peer, TimePoint now) const;
   bool isNear(const FleetVm &vm) const { return vm.DataCentre == Self.DataCentre; }
+  void refreshSelf(TimePoint now);
   void merge(const FleetVm &vm, TimePoint now);
   std::vector<FleetVm> readersOf(std::string_view dataCentre, TimePoint now) const;
   FleetMessage message(bool isFar, TimePoint now);
@@ -85,6 +93,7 @@
   Random Rng;
   TimePoint StartedAt;
   std::map<VmAddress, Peer> Peers;
+  TimePoint ContactAt{};
   std::uint64_t Ticks = 0;
   std::size_t NextRow = 0;
 };
--- a/Services/Gateway/FleetTask.cpp
+++ b/Services/Gateway/FleetTask.cpp
@@ -38,9 +38,22 @@
           .DataCentre = settings.DataCentre,
           .Incarnation = static_cast<std::uint64_t>(
               std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count()),
+          .ContactAgeMs = UINT32_MAX,
           .Weight = std::max(1U, static_cast<std::uint32_t>(WeightPerCore * share))};
 }
 
+Removal removalMeans(StoreAbsence absence) {
+  switch (absence) {
+  case StoreAbsence::None:
+    return Removal::Final;
+  case StoreAbsence::Possible:
+    return Removal::PossibleLapse;
+  case StoreAbsence::Certain:
+    return Removal::ProbableLapse;
+  }
+  return Removal::Final;
+}
+
 std::vector<VmAddress> seedsOf(const GatewaySettings &settings) {
   std::vector<VmAddress> seeds;
   for (const std::string &it : settings.SeedPeers)
@@ -83,8 +96,9 @@
 void FleetTask::stop() { send(Members.stop(bootTimeNow())); }
 
 void FleetTask::didLearn(const StoreDelta &delta, StoreRevision after) {
-  apply(delta, "store");
   const TimePoint now = bootTimeNow();
+  Members.didReachStore(now);
+  apply(delta, "store");
   if (Replica.revision() > after)
     send(Members.spread(delta, after, Members.isReader(now), now));
 }
@@ -188,7 +202,7 @@
   const TimePoint now = bootTimeNow();
   const auto changes = Replica.apply(delta, now);
   Members.setRevision(Replica.revision());
-  Owner.didLearn(changes, source, Members.isStoreAway(now));
+  Owner.didLearn(changes, source, removalMeans(Members.storeAbsence(now)));
 }
 
 void FleetTask::send(const std::vector<FleetSend> &sends) {
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -15,6 +15,7 @@
 constexpr Duration PauseLimit = std::chrono::milliseconds{2500};
 // The rest of the probes that an upstream may get is left to VMs that join unnoticed.
 constexpr double SafeProbeShare = 0.8;
+constexpr Duration FiguresInterval = std::chrono::seconds{5};
 constexpr double SafeRepeatShare = 0.9;
 
 } // namespace
@@ -25,7 +26,7 @@
       MaintainedAt(bootTimeNow()) {}
 
 void Gateway::didLearn(std::span<const StoreItem> changes, std::string_view source,
-                       bool mayBeLapses) {
+                       Removal removals) {
   const TimePoint now = bootTimeNow();
   bool hasChanged = false;
   for (const StoreItem &it : changes) {
@@ -33,7 +34,7 @@
       didLearnPlan(it, source);
       hasChanged = true;
     } else if (const auto id = platform::upstreamIdOf(it.Key)) {
-      hasChanged |= didLearnUpstream(it, *id, mayBeLapses, now);
+      hasChanged |= didLearnUpstream(it, *id, removals, now);
     }
   }
   if (hasChanged)
@@ -61,11 +62,11 @@
              {"from", std::string{source}}});
 }
 
-bool Gateway::didLearnUpstream(const StoreItem &item, std::string_view id, bool mayBeLapse,
+bool Gateway::didLearnUpstream(const StoreItem &item, std::string_view id, Removal removal,
                                TimePoint now) {
   auto record = item.IsRemoved ? std::nullopt : platform::decodeUpstream(id, item.Value);
   if (!record) {
-    if (!Upstreams.didRemove(id, mayBeLapse, now))
+    if (!Upstreams.didRemove(id, removal, now))
       return false;
     Log.write(EventLog::Weight::Important, item.IsRemoved ? "upstream_gone" : "upstream_unreadable",
               {{"up", std::string{id}}, {"rev", fmt::format("{}", item.Revision)}});
@@ -129,9 +130,35 @@
     refreshServices();
   for (const auto &[name, task] : Services)
     task->maintain(now);
+  if (now - FiguresAt >= FiguresInterval) {
+    FiguresAt = now;
+    for (const auto &[name, task] : Services)
+      logFigures(*task, now);
+  }
   Log.flush();
 }
 
+void Gateway::logFigures(const ServiceTask &task, TimePoint now) {
+  const BalanceCounts &counts = task.balancer().counts();
+  const auto number = [](auto value) { return fmt::format("{}", value); };
+  Log.write(EventLog::Weight::Routine, "service",
+            {{"svc", task.name()},
+             {"requests", number(counts.Requests)},
+             {"attempts", number(counts.Attempts)},
+             {"hedges", number(counts.Hedges)},
+             {"hedge_wins", number(counts.HedgeWins)},
+             {"refused", number(counts.Refusals)},
+             {"probes", number(counts.Probes)},
+             {"probes_denied", number(counts.ProbesDenied)},
+             {"repeats_denied", number(counts.RepeatsDenied)},
+             {"to_slow", number(counts.SentToSlow)},
+             {"queued", number(task.balancer().queued())},
+             {"work_ms", fmt::format("{:.1f}", toSeconds(task.balancer().typicalWork()) * 1e3)},
+             {"slow", fmt::format("{:.2f}", task.balancer().typicalSlowness())},
+             {"repeat_room", fmt::format("{:.1f}", task.balancer().repeatRoom(now))},
+             {"upstreams", number(task.upstreams())}});
+}
+
 std::shared_ptr<ServiceTask> Gateway::service(const std::string &name) const {
   const auto it = Services.find(name);
   return it == Services.end() ? nullptr : it->second;
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -36,9 +36,8 @@
   Gateway(boost::asio::io_context &context, const GatewaySettings &settings, EventLog &log,
           std::uint64_t seed);
 
-  /// Takes over keys of the store that have changed. Removals may be lapses when no VM has reached
-  /// the store for a while.
-  void didLearn(std::span<const StoreItem> changes, std::string_view source, bool mayBeLapses);
+  /// Takes over keys of the store that have changed.
+  void didLearn(std::span<const StoreItem> changes, std::string_view source, Removal removals);
   void setSettings(const GatewaySettings &settings);
   /// VMs among which the budgets of the fleet are shared.
   void setFleetSize(int vms);
@@ -67,9 +66,10 @@
 
 private:
   void didLearnPlan(const StoreItem &item, std::string_view source);
-  bool didLearnUpstream(const StoreItem &item, std::string_view id, bool mayBeLapse, TimePoint now);
+  bool didLearnUpstream(const StoreItem &item, std::string_view id, Removal removal, TimePoint now);
   void refreshServices();
   void shareBudgets();
+  void logFigures(const ServiceTask &task, TimePoint now);
 
   boost::asio::io_context &Context;
   GatewaySettings Settings;
@@ -88,6 +88,7 @@
   int FleetSize = 1;
   bool IsStopping = false;
   TimePoint MaintainedAt{};
+  TimePoint FiguresAt{};
 };
 
 } // namespace wigeonlift
