--- a/Libraries/LibBalance/Placement.cpp
+++ b/Libraries/LibBalance/Placement.cpp
@@ -23,6 +23,8 @@
 constexpr Duration FarCost = std::chrono::milliseconds{2};
 // Bytes between data centres are dear: the time that a near upstream may take longer, per KiB.
 constexpr Duration FarCostPerKib = std::chrono::milliseconds{2};
+// Far upstreams are asked when the near ones are thought to be slower than this.
+constexpr double FarAskFactor = 0.6;
 constexpr double TroubleFactor = 1.0;
 // A failure of a request that can't be repeated is final.
 constexpr double TroubleFactorOnce = 3.0;
@@ -91,7 +93,8 @@
   if (askSome(request, now, out) > 0) {
     ++request.Rounds;
     const int doublings = std::min(FruitlessRounds++, MaxDoublings);
-    NextRoundAt = now + std::max(ProbePatience, FirstRoundInterval * (1 << doublings));
+    RoundAt = now;
+    NextRoundAt = now + FirstRoundInterval * (1 << doublings);
     return false;
   }
   NextRoundAt = now + LastRoundInterval;
@@ -201,7 +204,8 @@
       continue;
     // VMs that know the same must not all ask, and then choose, the same upstreams.
     const double jitter = 1 - Spread / 2 + Spread * Rng.unit();
-    choices.push_back({toSeconds(judge(view, request, now).Cost) * jitter, &view});
+    const double far = view.facts().IsNear ? 0 : FarAskFactor * toSeconds(work(request));
+    choices.push_back({toSeconds(judge(view, request, now).Cost) * jitter + far, &view});
   }
   std::ranges::sort(choices, {}, &Choice::Cost);
   int asked = 0;
@@ -228,9 +232,14 @@
 }
 
 bool ServiceBalancer::awaitsProbes(TimePoint now) const {
-  return std::ranges::any_of(Upstreams, [&](const auto &it) {
-    return it.second.Probe && now - it.second.ProbedAt < ProbePatience;
-  });
+  return now < RoundAt + ProbePatience &&
+         std::ranges::any_of(Upstreams, [](const auto &it) { return it.second.Probe.has_value(); });
+}
+
+TimePoint ServiceBalancer::nextRound() const {
+  const bool isAsking =
+      std::ranges::any_of(Upstreams, [](const auto &it) { return it.second.Probe.has_value(); });
+  return isAsking ? std::max(NextRoundAt, RoundAt + ProbePatience) : NextRoundAt;
 }
 
 } // namespace wigeonlift
--- a/Libraries/LibBalance/ServiceBalancer.cpp
+++ b/Libraries/LibBalance/ServiceBalancer.cpp
@@ -131,7 +131,7 @@
     consider(std::min(request.Spec.Deadline, request.HedgeAt));
   }
   if (!Queue.empty())
-    consider(NextRoundAt);
+    consider(nextRound());
   for (const auto &[index, view] : Upstreams)
     if (view.Probe)
       consider(view.ProbedAt + ProbeTimeout);
--- a/Libraries/LibBalance/ServiceBalancer.h
+++ b/Libraries/LibBalance/ServiceBalancer.h
@@ -132,6 +132,8 @@
   int askSome(const Request &request, TimePoint now, BalanceCommands &out);
   bool ask(UpstreamView &view, TimePoint now, BalanceCommands &out);
   bool awaitsProbes(TimePoint now) const;
+  /// When a request that waits may start another round, if nothing else happens.
+  TimePoint nextRound() const;
 
   // Ends of attempts and requests.
   UpstreamView *view(UpstreamIndex index);
@@ -157,6 +159,7 @@
   TokenBucket ProbeRate;
   /// Rounds of probes since the last one that brought a request to an upstream.
   int FruitlessRounds = 0;
+  TimePoint RoundAt{};
   TimePoint NextRoundAt{};
   /// Mean of the factors by which upstreams were slower than usual.
   double TypicalSlowness = 1.5;
