--- a/Libraries/LibBalance/Placement.cpp
+++ b/Libraries/LibBalance/Placement.cpp
@@ -29,6 +29,8 @@
 // A failure of a request that can't be repeated is final.
 constexpr double TroubleFactorOnce = 3.0;
 constexpr double BytesPerKib = 1024;
+// A request that no upstream has taken after this share of its time is refused.
+constexpr double UntriedShareOfTime = 0.65;
 
 } // namespace
 
@@ -40,6 +42,15 @@
   return now + work(request) > request.Spec.Objective;
 }
 
+bool ServiceBalancer::isHopeless(const Request &request, TimePoint now) const {
+  if (now + work(request) > request.Spec.Deadline)
+    return true;
+  // A caller that is told early can still come back.
+  const Duration patience = request.Spec.Deadline - request.Spec.ArrivedAt;
+  return request.Tried.empty() &&
+         toSeconds(now - request.Spec.ArrivedAt) > UntriedShareOfTime * toSeconds(patience);
+}
+
 std::vector<CallId> ServiceBalancer::inOrder(TimePoint now) const {
   struct Place {
     bool IsLate;
@@ -71,7 +82,7 @@
 }
 
 bool ServiceBalancer::place(Request &request, TimePoint now, BalanceCommands &out) {
-  if (request.Running.empty() && now + work(request) > request.Spec.Deadline) {
+  if (request.Running.empty() && isHopeless(request, now)) {
     refuse(request, request.PossibleRuns > 0 ? FailureKind::ConnectionLost : FailureKind::Overloaded,
            now, out);
     return true;
--- a/Libraries/LibBalance/ServiceBalancer.h
+++ b/Libraries/LibBalance/ServiceBalancer.h
@@ -127,6 +127,7 @@
   void start(Request &request, const Candidate &candidate, TimePoint now, BalanceCommands &out);
   Duration work(const Request &request) const;
   bool isLate(const Request &request, TimePoint now) const;
+  bool isHopeless(const Request &request, TimePoint now) const;
 
   // Probes.
   int askSome(const Request &request, TimePoint now, BalanceCommands &out);
--- /dev/null
+++ b/Tests/LibBalance/Harness.h
@@ -0,0 +1,139 @@
+#pragma once
+
+#include <LibBalance/LibBalance.h>
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <vector>
+
+namespace wigeonlift {
+
+inline constexpr TimePoint Start{std::chrono::seconds{1000}};
+inline constexpr Duration Work = std::chrono::milliseconds{120};
+
+/// Drives a balancer in virtual time against upstreams whose load the test sets. Probes are answered
+/// at once unless an upstream is silent.
+class Harness {
+public:
+  explicit Harness(int upstreams, int near = 0) : Balancer(7, Start - std::chrono::minutes{1}) {
+    for (int n = 0; n < upstreams; ++n) {
+      Facts.push_back({.Index = index(n), .IsNear = n < near, .Slots = 3});
+      Loads[index(n)] = LoadReport{.Slots = 3};
+    }
+    Balancer.setRepeatBounds(0.2, 100, std::chrono::seconds{10});
+    Balancer.setProbeRate(1000, Now);
+    apply();
+  }
+
+  static UpstreamIndex index(int n) { return UpstreamIndex{static_cast<std::uint32_t>(n)}; }
+
+  void apply() {
+    BalanceCommands out;
+    Balancer.setUpstreams(Facts, Now, out);
+    handle(out);
+  }
+
+  RequestSpec spec(CallClass callClass = CallClass::Idempotent) {
+    return {.Id = CallId{++LastCall},
+            .Class = callClass,
+            .Kind = 1,
+            .ArrivedAt = Now,
+            .Objective = Now + std::chrono::milliseconds{270},
+            .Deadline = Now + std::chrono::milliseconds{800},
+            .MaxAttempts = 2};
+  }
+
+  CallId arrive(const RequestSpec &spec) {
+    BalanceCommands out;
+    Balancer.requestArrived(spec, Now, out);
+    handle(out);
+    return spec.Id;
+  }
+  CallId arrive(CallClass callClass = CallClass::Idempotent) { return arrive(spec(callClass)); }
+
+  void answer(const SendRequest &sent, AnswerKind kind) {
+    BalanceCommands out;
+    LastUse = Balancer.didAnswer(sent.Attempt, {.Kind = kind, .Load = Loads[sent.Upstream]}, Now,
+                                 out);
+    handle(out);
+  }
+
+  void fail(const SendRequest &sent, AttemptStage stage) {
+    BalanceCommands out;
+    Balancer.attemptFailed(sent.Attempt, stage, Now, out);
+    handle(out);
+  }
+
+  /// Teaches the balancer how long work takes.
+  void teach() {
+    for (int n = 0; n < 12; ++n) {
+      const CallId id = arrive();
+      const SendRequest sent = sendOf(id);
+      advance(Work);
+      answer(sent, AnswerKind::Success);
+    }
+    Sent.clear();
+  }
+
+  /// Passes time, with all wake-ups that the balancer asks for.
+  void advance(Duration span) {
+    const TimePoint end = Now + span;
+    while (true) {
+      const auto next = Balancer.nextWakeup();
+      if (!next || *next > end)
+        break;
+      Now = std::max(Now + std::chrono::microseconds{100}, *next);
+      BalanceCommands out;
+      Balancer.tick(Now, out);
+      handle(out);
+    }
+    Now = std::max(Now, end);
+  }
+
+  void handle(const BalanceCommands &commands) {
+    for (const BalanceCommand &it : commands) {
+      if (const auto *send = std::get_if<SendRequest>(&it)) {
+        BalanceCommands out;
+        if (Balancer.maySend(send->Attempt, Now, out))
+          Sent.push_back(*send);
+        handle(out);
+      } else if (const auto *refusal = std::get_if<RefuseRequest>(&it)) {
+        Refused[refusal->Call] = refusal->Reason;
+      } else if (const auto *abandoned = std::get_if<AbandonAttempt>(&it)) {
+        Abandoned.push_back(abandoned->Attempt);
+      } else if (const auto *probe = std::get_if<AskLoad>(&it)) {
+        ++Probes;
+        if (std::ranges::find(Silent, probe->Upstream) != Silent.end())
+          continue;
+        BalanceCommands out;
+        Balancer.probeAnswered(probe->Probe, Loads[probe->Upstream], Now, out);
+        handle(out);
+      }
+    }
+  }
+
+  std::vector<SendRequest> sendsOf(CallId id) const {
+    std::vector<SendRequest> result;
+    for (const SendRequest &it : Sent)
+      if (it.Call == id)
+        result.push_back(it);
+    return result;
+  }
+  SendRequest sendOf(CallId id) const { return sendsOf(id).at(0); }
+
+  TimePoint Now = Start;
+  ServiceBalancer Balancer;
+  std::vector<UpstreamFacts> Facts;
+  std::map<UpstreamIndex, LoadReport> Loads;
+  std::vector<UpstreamIndex> Silent;
+  std::vector<SendRequest> Sent;
+  std::map<CallId, Failure> Refused;
+  std::vector<AttemptId> Abandoned;
+  int Probes = 0;
+  std::uint64_t LastCall = 0;
+  AnswerUse LastUse = AnswerUse::Drop;
+};
+
+} // namespace wigeonlift
--- /dev/null
+++ b/Tests/LibDiscovery/TestStoreReplica.cpp
@@ -0,0 +1,81 @@
+#include <LibDiscovery/LibDiscovery.h>
+
+#include <gtest/gtest.h>
+
+namespace wigeonlift {
+
+namespace {
+
+constexpr TimePoint Start{std::chrono::seconds{100}};
+
+StoreItem item(std::string key, std::string value, StoreRevision revision) {
+  return {.Key = std::move(key), .Value = std::move(value), .Revision = revision};
+}
+
+StoreItem removal(std::string key, StoreRevision revision) {
+  return {.Key = std::move(key), .Value = {}, .Revision = revision, .IsRemoved = true};
+}
+
+StoreDelta delta(std::vector<StoreItem> items, StoreRevision asOf, bool isComplete = false) {
+  return {.Items = std::move(items), .IsComplete = isComplete, .AsOf = asOf};
+}
+
+} // namespace
+
+// Guards against an older read, of the store or of a peer, that undoes a newer change.
+TEST(StoreReplica, KeysOnlyGoForward) {
+  StoreReplica replica;
+  replica.apply(delta({item("a", "new", 7)}, 7), Start);
+  EXPECT_TRUE(replica.apply(delta({item("a", "old", 3)}, 5), Start).empty());
+  EXPECT_EQ(replica.find("a")->Value, "new");
+  replica.apply(delta({removal("a", 9)}, 9), Start);
+  EXPECT_TRUE(replica.apply(delta({item("a", "new", 7)}, 9), Start).empty());
+  EXPECT_EQ(replica.find("a"), nullptr);
+  EXPECT_EQ(replica.revision(), 9U);
+}
+
+// Guards against an upstream that left in a gap of the history and stays in use.
+TEST(StoreReplica, ACompleteReadRemovesWhatItDoesNotName) {
+  StoreReplica replica;
+  replica.apply(delta({item("a", "1", 1), item("b", "2", 2)}, 2), Start);
+  const auto changes = replica.apply(delta({item("b", "2", 2)}, 12, true), Start);
+  ASSERT_EQ(changes.size(), 1U);
+  EXPECT_TRUE(changes[0].IsRemoved);
+  EXPECT_EQ(changes[0].Key, "a");
+}
+
+// Guards against a stale complete read that removes keys which were written after it.
+TEST(StoreReplica, AnOlderCompleteReadRemovesNothing) {
+  StoreReplica replica;
+  replica.apply(delta({item("a", "1", 8)}, 8), Start);
+  EXPECT_TRUE(replica.apply(delta({}, 5, true), Start).empty());
+  EXPECT_NE(replica.find("a"), nullptr);
+}
+
+// Guards against a peer that gets a change without the removals before it.
+TEST(StoreReplica, DeltasForPeersHoldRemovals) {
+  StoreReplica source;
+  StoreReplica peer;
+  source.apply(delta({item("a", "1", 1), item("b", "2", 2)}, 2), Start);
+  peer.apply(source.since(0), Start);
+  source.apply(delta({removal("a", 3), item("c", "3", 4)}, 4), Start);
+  const auto changes = peer.apply(source.since(peer.revision()), Start);
+  EXPECT_EQ(changes.size(), 2U);
+  EXPECT_EQ(peer.items(), source.items());
+}
+
+// Guards against a peer that misses removals which the source has forgotten.
+TEST(StoreReplica, APeerFarBehindGetsEverything) {
+  StoreReplica source;
+  StoreReplica peer;
+  source.apply(delta({item("a", "1", 1)}, 1), Start);
+  peer.apply(source.since(0), Start);
+  source.apply(delta({removal("a", 2)}, 2), Start);
+  source.apply(delta({item("b", "2", 3)}, 3), Start + std::chrono::minutes{2});
+  const StoreDelta answer = source.since(peer.revision());
+  EXPECT_TRUE(answer.IsComplete);
+  peer.apply(answer, Start);
+  EXPECT_EQ(peer.find("a"), nullptr);
+}
+
+} // namespace wigeonlift
--- /dev/null
+++ b/Tests/LibTelemetry/TestEventLog.cpp
@@ -0,0 +1,81 @@
+#include <LibTelemetry/LibTelemetry.h>
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <string>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+using namespace wigeonlift;
+
+namespace {
+
+/// A pipe whose reading end the test owns.
+class Pipe {
+public:
+  Pipe() { EXPECT_EQ(::pipe(Ends.data()), 0); }
+  ~Pipe() {
+    ::close(Ends[0]);
+    ::close(Ends[1]);
+  }
+  int writeEnd() const { return Ends[1]; }
+  std::string readAll() const {
+    ::fcntl(Ends[0], F_SETFL, O_NONBLOCK);
+    std::string text;
+    std::array<char, 4096> buf{};
+    for (ssize_t n = 0; (n = ::read(Ends[0], buf.data(), buf.size())) > 0;)
+      text.append(buf.data(), static_cast<std::size_t>(n));
+    return text;
+  }
+
+private:
+  std::array<int, 2> Ends{};
+};
+
+} // namespace
+
+// Guards against a process that waits for a standard output that nobody reads, against memory that
+// grows meanwhile, and against lines that disappear without a count.
+TEST(EventLog, NeverWaitsForItsReader) {
+  const Pipe pipe;
+  EventLog log{pipe.writeEnd(), "vm"};
+  for (int n = 0; n < 50'000; ++n)
+    log.write(EventLog::Weight::Routine, "answered", {{"id", "0123456789abcdef"}});
+  EXPECT_GT(log.dropped(), 0U);
+  EXPECT_EQ(log.dropped() + log.written(), 50'000U);
+  std::string text = pipe.readAll();
+  log.flush();
+  log.write(EventLog::Weight::Routine, "after", {});
+  for (int n = 0; n < 10; ++n) {
+    text += pipe.readAll();
+    log.flush();
+  }
+  text += pipe.readAll();
+  EXPECT_NE(text.find("lines_dropped"), std::string::npos);
+}
+
+// Guards against good answers that push lines about failures out of the buffer.
+TEST(EventLog, FailuresFindRoomWhenRoutineLinesDoNot) {
+  const Pipe pipe;
+  EventLog log{pipe.writeEnd(), "vm"};
+  while (log.dropped() == 0)
+    log.write(EventLog::Weight::Routine, "answered", {{"id", "0123456789abcdef"}});
+  const auto dropped = log.dropped();
+  for (int n = 0; n < 100; ++n)
+    log.write(EventLog::Weight::Important, "refused", {{"id", "0123456789abcdef"}});
+  EXPECT_EQ(log.dropped(), dropped);
+}
+
+// Guards against values that break the JSON of a line.
+TEST(EventLog, EscapesValues) {
+  const Pipe pipe;
+  EventLog log{pipe.writeEnd(), "vm"};
+  log.write(EventLog::Weight::Important, "rejected",
+            {{"path", "/a\"b\\c\n"}, {"status", "404"}, {"id", "007"}, {"left", "-1.5"}});
+  log.flush();
+  const std::string text = pipe.readAll();
+  EXPECT_NE(text.find(R"("path":"/a\"b\\c\u000a")"), std::string::npos);
+  EXPECT_NE(text.find(R"("status":404,"id":"007","left":-1.5)"), std::string::npos);
+}
--- /dev/null
+++ b/Tests/Platform/TestPlatform.cpp
@@ -0,0 +1,156 @@
+#include <platform/Platform.h>
+
+#include <gtest/gtest.h>
+
+using namespace wigeonlift;
+using namespace std::chrono_literals;
+
+// Guards against times that are read with the wrong unit, and against bytes that are no time.
+TEST(Names, ParsesDurations) {
+  EXPECT_EQ(platform::parseDuration("1500ms"), 1500ms);
+  EXPECT_EQ(platform::parseDuration("2.5s"), 2500ms);
+  for (const auto *text : {"", "ms", "5", "-1s", "1e99s", "5m", "1 s", "nans"})
+    EXPECT_FALSE(platform::parseDuration(text)) << text;
+}
+
+// Guards against a machine's slowness that is ignored, and against reports that are not numbers.
+TEST(Names, ParsesLoad) {
+  const auto load = platform::parseLoad("2,1,3,400");
+  ASSERT_TRUE(load);
+  EXPECT_EQ(load->InFlight, 2);
+  EXPECT_EQ(load->Queued, 1);
+  EXPECT_EQ(load->Slots, 3);
+  EXPECT_EQ(load->SlownessPercent, 400);
+  EXPECT_EQ(platform::parseLoad("2,1,3")->SlownessPercent, 100);
+  for (const auto *text : {"", "1,2", "1,2,x", "1,2,-3", "1,2,3,4,5"})
+    EXPECT_FALSE(platform::parseLoad(text)) << text;
+}
+
+// Guards against entries of other writers that name an upstream to use.
+TEST(UpstreamCodec, IgnoresEntriesThatItCannotRead) {
+  const std::string good =
+      R"({"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","capacity-slots":3,)"
+      R"("state":"ready","warmup-remaining":"300ms","sequence":4,"born":17})";
+  const auto record = platform::decodeUpstream("i-1", good);
+  ASSERT_TRUE(record);
+  EXPECT_EQ(record->BornMs, 17U);
+  EXPECT_EQ(record->Slots, 3);
+  EXPECT_EQ(record->Warmup, 300ms);
+  EXPECT_FALSE(record->IsDraining);
+  for (const auto &[from, to] : std::vector<std::pair<std::string, std::string>>{
+           {R"("ready")", R"("sleepy")"},
+           {R"("ready")", "7"},
+           {R"("s")", "null"},
+           {R"("capacity-slots":3)", R"("capacity-slots":"3")"},
+           {R"("capacity-slots":3)", R"("capacity-slots":0)"},
+           {R"("10.0.0.1:80")", R"("10.0.0.1")"},
+           {R"("born":17)", R"("born":1.5)"},
+           {R"("300ms")", R"("300")"},
+           {"}", ""}}) {
+    std::string bad = good;
+    bad.replace(bad.find(from), from.size(), to);
+    EXPECT_FALSE(platform::decodeUpstream("i-1", bad)) << bad;
+  }
+  EXPECT_FALSE(platform::decodeUpstream("i-1", "\xff\x00"));
+}
+
+// Guards against a configuration that is read in part, or with the wrong kind.
+TEST(ConfigurationCodec, ReadsRoutesAndLimits) {
+  const auto plan = platform::decodeConfiguration(
+      R"({"version":7,"routes":[{"name":"r1","host":"h.example","prefix":"/p/","route-kind":"safe",)"
+      R"("timeout":"800ms","target-latency":"300ms","priority":2,"max-attempts":2,"traffic-split":)"
+      R"([{"service":"a","weight":90},{"service":"b","weight":10}]},{"name":"r2","host":"h.example",)"
+      R"("prefix":"/q/","route-kind":"download","service":"a","max-attempts":1}],"services":)"
+      R"([{"name":"a","health-check-path":"/hc","max-connections":220}],"limits":)"
+      R"({"max-header-bytes":1000,"max-body-bytes":2000,"header-timeout":"3s","idle-timeout":"15s"}})");
+  ASSERT_TRUE(plan.ok()) << plan.status();
+  ASSERT_EQ(plan->Routes.size(), 2U);
+  EXPECT_EQ(plan->Routes[0].Class, CallClass::Idempotent);
+  EXPECT_EQ(plan->Routes[0].Timeout, 800ms);
+  ASSERT_EQ(plan->Routes[0].Parts.size(), 2U);
+  EXPECT_EQ(plan->Routes[0].Parts[1].Weight, 10);
+  EXPECT_EQ(plan->Routes[1].Class, CallClass::Export);
+  EXPECT_FALSE(plan->Routes[1].Timeout);
+  EXPECT_EQ(plan->Services[0].HealthPath, "/hc");
+  EXPECT_EQ(plan->Limits.HeadBytes, 1000U);
+  EXPECT_EQ(plan->Limits.IdleTimeout, 15s);
+}
+
+TEST(ConfigurationCodec, RejectsWhatItCannotRead) {
+  for (const auto *text :
+       {"", "[]", R"({"routes":[]})", R"({"version":1})", R"({"version":1,"routes":[{}]})",
+        R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"p/","route-kind":"safe",)"
+        R"("service":"a","max-attempts":1}]})",
+        R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/p/","route-kind":"odd",)"
+        R"("service":"a","max-attempts":1}]})",
+        R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/p/","route-kind":"safe",)"
+        R"("traffic-split":[],"max-attempts":1}]})"})
+    EXPECT_FALSE(platform::decodeConfiguration(text).ok()) << text;
+}
+
+// Guards against events that are lost on the way into the replica.
+TEST(StoreClient, DecodesWatchesAndPages) {
+  const auto delta = platform::decodeWatch(
+      R"({"events":[{"key":"a","value":"bm9kZS0x","revision":412,"create-revision":412,"lease":7},)"
+      R"({"key":"b","revision":413,"deleted":true}],"as-of":413})");
+  ASSERT_TRUE(delta.ok());
+  ASSERT_EQ(delta->Items.size(), 2U);
+  EXPECT_EQ(delta->Items[0].Value, "node-1");
+  EXPECT_TRUE(delta->Items[1].IsRemoved);
+  EXPECT_EQ(delta->AsOf, 413U);
+  const auto page = platform::decodePage(R"({"items":[],"has-more":true,"as-of":5})");
+  ASSERT_TRUE(page.ok());
+  EXPECT_TRUE(page->HasMore);
+  EXPECT_FALSE(platform::decodeWatch(R"({"events":[]})").ok());
+  EXPECT_FALSE(platform::decodeWatch(R"({"events":[{"key":"a"}],"as-of":1})").ok());
+  EXPECT_FALSE(platform::decodePage("nothing").ok());
+}
+
+TEST(DirectoryCodec, ReadsQuestionsAndWritesAnswers) {
+  const auto query = platform::decodeDirectoryQuery("/v1/resolve?name=h&region=r&zone=z-1");
+  ASSERT_TRUE(query);
+  EXPECT_EQ(query->DataCentre, "z-1");
+  EXPECT_FALSE(platform::decodeDirectoryQuery("/v1/other?zone=z-1"));
+  const std::vector<std::string> addresses{"10.0.0.1:80", "10.0.0.2:80"};
+  EXPECT_EQ(platform::encodeDirectoryAnswer(addresses, 2s),
+            R"({"addresses":["10.0.0.1:80","10.0.0.2:80"],"ttl":"2000ms"})");
+}
+
+// Guards against settings that are half taken, and against new fields that end the process.
+TEST(NodeFile, ReadsSettings) {
+  const std::string good = R"(node-name = "vm-1"
+zone = "a"
+region = "r"
+ip-address = "10.1.0.34"
+internal-port-range = [7540,7555]
+seed-nodes = ["10.1.0.34:8544","nonsense"]
+bounds = ["retry-budget-ratio=0.2","budget-window=10s","retry-budget-extra=56","grace-period=6s","new=1"]
+new-field = true
+[listen-addresses]
+frontend = "10.1.0.34:8548"
+directory = "10.1.0.34:8546"
+[limits]
+cpu-share = 0.2
+link-mbps = 1000.0
+[platform]
+address = "10.200.1.7:8541"
+)";
+  const auto settings = platform::decodeNodeFile(good);
+  ASSERT_TRUE(settings.ok()) << settings.status();
+  EXPECT_EQ(settings->Name, "vm-1");
+  EXPECT_EQ(settings->FirstInternalPort, 7540);
+  EXPECT_EQ(settings->SeedPeers, std::vector<std::string>{"10.1.0.34:8544"});
+  EXPECT_EQ(settings->Bounds.RepeatExtra, 56);
+  EXPECT_EQ(settings->Bounds.StopGrace, 6s);
+  EXPECT_TRUE(settings->ReadinessAddress.empty());
+  for (const auto &[from, to] : std::vector<std::pair<std::string, std::string>>{
+           {"vm-1", ""},
+           {"10.200.1.7:8541", "somewhere"},
+           {"10.1.0.34:8548", "10.1.0.34"},
+           {"budget-window=10s", "budget-window=ten"},
+           {"[limits]", "[limits"}}) {
+    std::string bad = good;
+    bad.replace(bad.find(from), from.size(), to);
+    EXPECT_FALSE(platform::decodeNodeFile(bad).ok()) << to;
+  }
+}
