--- a/Libraries/LibBalance/Placement.cpp
+++ b/Libraries/LibBalance/Placement.cpp
@@ -25,6 +25,9 @@
 constexpr Duration FarCostPerKib = std::chrono::milliseconds{2};
 // Far upstreams are asked when the near ones are thought to be slower than this.
 constexpr double FarAskFactor = 0.6;
+// Each new connection is work for the upstream, so those with an open one are asked first.
+constexpr double ColdAskFactor = 0.3;
+constexpr Duration WarmSpan = std::chrono::seconds{8};
 constexpr double TroubleFactor = 1.0;
 // A failure of a request that can't be repeated is final.
 constexpr double TroubleFactorOnce = 3.0;
@@ -215,8 +218,11 @@
       continue;
     // VMs that know the same must not all ask, and then choose, the same upstreams.
     const double jitter = 1 - Spread / 2 + Spread * Rng.unit();
-    const double far = view.facts().IsNear ? 0 : FarAskFactor * toSeconds(work(request));
-    choices.push_back({toSeconds(judge(view, request, now).Cost) * jitter + far, &view});
+    const double detour = (view.facts().IsNear ? 0 : FarAskFactor) +
+                          (view.hasReport() && view.reportAge(now) < WarmSpan ? 0 : ColdAskFactor);
+    choices.push_back({toSeconds(judge(view, request, now).Cost) * jitter +
+                           detour * toSeconds(work(request)),
+                       &view});
   }
   std::ranges::sort(choices, {}, &Choice::Cost);
   int asked = 0;
--- a/Libraries/LibFleet/Fleet.cpp
+++ b/Libraries/LibFleet/Fleet.cpp
@@ -103,7 +103,7 @@
   return {{.To = incoming.Sender.Ip, .Message = message(false, now)}};
 }
 
-std::vector<FleetSend> Fleet::spread(const StoreDelta &delta, StoreRevision after, bool isReader,
+std::vector<FleetSend> Fleet::spread(const StoreDelta &delta, StoreRevision after,
                                      TimePoint now) {
   std::vector<FleetSend> sends;
   std::set<VmAddress> farReaders;
@@ -117,7 +117,7 @@
   for (const auto &[ip, peer] : Peers) {
     if (!isAlive(peer, now) || peer.Vm.Revision >= delta.AsOf)
       continue;
-    if ((isReader && isNear(peer.Vm)) || farReaders.contains(ip))
+    if (isNear(peer.Vm) || farReaders.contains(ip))
       sends.push_back({.To = ip, .Message = out});
   }
   return sends;
--- a/Libraries/LibFleet/Fleet.h
+++ b/Libraries/LibFleet/Fleet.h
@@ -51,8 +51,7 @@
   std::vector<FleetSend> didHear(const FleetMessage &message, TimePoint now);
   /// Messages that bring a change of the store to the VMs that depend on this one: all near ones
   /// and the readers of the other data centres.
-  std::vector<FleetSend> spread(const StoreDelta &delta, StoreRevision after, bool isReader,
-                                TimePoint now);
+  std::vector<FleetSend> spread(const StoreDelta &delta, StoreRevision after, TimePoint now);
 
   const FleetVm &self() const { return Self; }
   /// All VMs that are alive, this one included.
--- a/Libraries/LibFleet/LibFleet.h
+++ b/Libraries/LibFleet/LibFleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibFleet/Compression.h>
 #include <LibFleet/Fleet.h>
 #include <LibFleet/FleetCodec.h>
 #include <LibFleet/FleetMessage.h>
--- a/Libraries/LibSettings/GatewaySettings.h
+++ b/Libraries/LibSettings/GatewaySettings.h
@@ -44,6 +44,8 @@
   double LinkMbps = 1000;
   int MemoryMb = 0;
   int FileDescriptors = 1024;
+  /// The whole fleet starts for the first time; callers come some seconds later.
+  bool IsFirstStart = false;
   FleetBounds Bounds;
 };
 
--- a/Meta/install.sh
+++ b/Meta/install.sh
@@ -4,7 +4,7 @@
 packages=(g++ cmake ninja-build clang clang-format clang-tidy pkg-config python3
   libboost1.81-dev libzmq3-dev cppzmq-dev libprotobuf-dev protobuf-compiler libyaml-cpp-dev
   libgflags-dev liblog4cxx-dev libabsl-dev librapidcheck-dev libxxhash-dev libgtest-dev
-  libsodium-dev libfmt-dev libtomlplusplus-dev ccache)
+  libsodium-dev libfmt-dev libtomlplusplus-dev zlib1g-dev ccache)
 missing=()
 for package in "${packages[@]}"; do
   dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'install ok installed' ||
--- a/Services/Gateway/FleetTask.cpp
+++ b/Services/Gateway/FleetTask.cpp
@@ -22,7 +22,8 @@
 constexpr std::size_t MaxDatagramBytes = 1300;
 constexpr std::size_t ReceiveBytes = 64 * 1024;
 constexpr std::string_view ReplicaTarget = "/replica?after=";
-constexpr Duration PullTimeout = std::chrono::milliseconds{900};
+constexpr Duration PullTimeout = std::chrono::milliseconds{1200};
+constexpr std::size_t MaxReplicaBytes = 16 * 1024 * 1024;
 // A change that was announced usually arrives by itself.
 constexpr Duration PullDelay = std::chrono::milliseconds{80};
 constexpr Duration PullRetry = std::chrono::milliseconds{200};
@@ -71,6 +72,8 @@
       Server(gateway.context(), [this](HttpRequest request) { return answer(std::move(request)); }) {
   if (const auto callers = parseEndpoint(gateway.settings().CallersAddress))
     CallersPort = callers->port();
+  const auto seeds = seedsOf(gateway.settings());
+  IsSeed = std::ranges::find(seeds, Members.self().Ip) != seeds.end();
 }
 
 absl::Status FleetTask::start() {
@@ -100,7 +103,7 @@
   Members.didReachStore(now);
   apply(delta, "store");
   if (Replica.revision() > after)
-    send(Members.spread(delta, after, Members.isReader(now), now));
+    send(Members.spread(delta, after, now));
 }
 
 bool FleetTask::mustWatch() const {
@@ -171,9 +174,10 @@
     const std::string target = fmt::format("{}{}", ReplicaTarget, Replica.revision());
     const auto response =
         co_await fetch(endpoint, HttpRequest{http::verb::get, target, 11}, PullTimeout);
-    const auto delta = response.ok() && response->result() == http::status::ok
-                           ? decodeStoreDelta(response->body())
+    const auto bytes = response.ok() && response->result() == http::status::ok
+                           ? decompress(response->body(), MaxReplicaBytes)
                            : std::nullopt;
+    const auto delta = bytes ? decodeStoreDelta(*bytes) : std::nullopt;
     if (delta)
       apply(*delta, "peer");
     else
@@ -184,6 +188,15 @@
   IsPulling = false;
 }
 
+const std::string &FleetTask::changesSince(StoreRevision after) {
+  if (AnswerBody.empty() || AnswerAfter != after || AnswerAsOf != Replica.revision()) {
+    AnswerBody = compress(encodeStoreDelta(Replica.since(after), after));
+    AnswerAfter = after;
+    AnswerAsOf = Replica.revision();
+  }
+  return AnswerBody;
+}
+
 asio::awaitable<HttpResponse> FleetTask::answer(HttpRequest request) {
   const std::string_view target = request.target();
   const auto after = target.starts_with(ReplicaTarget)
@@ -192,8 +205,8 @@
   if (!after)
     co_return HttpResponse{http::status::not_found, 11};
   HttpResponse response{http::status::ok, 11};
-  response.set(http::field::content_type, "application/x-protobuf");
-  response.body() = encodeStoreDelta(Replica.since(*after), *after);
+  response.set(http::field::content_type, "application/octet-stream");
+  response.body() = changesSince(*after);
   BytesSent += response.body().size();
   co_return response;
 }
--- a/Services/Gateway/FleetTask.h
+++ b/Services/Gateway/FleetTask.h
@@ -30,6 +30,8 @@
   /// The store told this VM of a change.
   void didLearn(const StoreDelta &delta, StoreRevision after);
   void setLostStore(bool hasLost) { Members.setLostStore(hasLost); }
+  /// Whether other VMs turn to this one when they start.
+  bool isSeed() const { return IsSeed; }
   /// Whether this VM has to watch the store itself.
   bool mustWatch() const;
   std::vector<std::string> callersAddresses(std::string_view dataCentre);
@@ -42,6 +44,7 @@
   boost::asio::awaitable<void> beatRegularly();
   boost::asio::awaitable<void> receive();
   boost::asio::awaitable<HttpResponse> answer(HttpRequest request);
+  const std::string &changesSince(StoreRevision after);
   boost::asio::awaitable<void> pull();
   void handle(const FleetMessage &message);
   void apply(const StoreDelta &delta, std::string_view source);
@@ -52,8 +55,13 @@
   Fleet Members;
   StoreReplica Replica;
   int CallersPort = 0;
+  bool IsSeed = false;
   boost::asio::ip::udp::socket Socket;
   HttpServer Server;
+  /// The answer to the VM that asked last; VMs that fall behind together ask for the same.
+  std::string AnswerBody;
+  StoreRevision AnswerAfter = 0;
+  StoreRevision AnswerAsOf = 0;
   bool IsPulling = false;
   std::uint64_t BytesSent = 0;
   std::uint64_t Pulls = 0;
--- a/Services/Gateway/StoreTask.cpp
+++ b/Services/Gateway/StoreTask.cpp
@@ -20,11 +20,13 @@
 constexpr Duration WatchWait = std::chrono::milliseconds{3000};
 constexpr Duration WatchTimeout = std::chrono::milliseconds{3800};
 // Changes that come in series are fetched with one call.
-constexpr Duration FoldSpan = std::chrono::milliseconds{500};
+constexpr Duration FoldSpan = std::chrono::milliseconds{800};
 // How often a VM that depends on another one's watch looks whether it still may.
 constexpr Duration FollowInterval = std::chrono::milliseconds{300};
 // Entries that lapsed while the store was away return within this time.
 constexpr Duration LapseSpan = std::chrono::milliseconds{2200};
+constexpr Duration FirstStartWait = std::chrono::milliseconds{2000};
+constexpr Duration FirstStartCheck = std::chrono::milliseconds{250};
 constexpr Duration FirstRetry = std::chrono::milliseconds{200};
 constexpr Duration MaxRetry = std::chrono::milliseconds{1000};
 
@@ -36,7 +38,17 @@
 
 void StoreTask::start() { asio::co_spawn(Owner.context(), run(), asio::detached); }
 
+asio::awaitable<void> StoreTask::waitForPeers() {
+  const TimePoint end = bootTimeNow() + FirstStartWait;
+  while (Peers.replica().isEmpty() && bootTimeNow() < end)
+    co_await pause(FirstStartCheck);
+  MustReadAll = Peers.replica().isEmpty();
+}
+
 asio::awaitable<void> StoreTask::run() {
+  // VMs that start together don't all have to ask the store, as long as no callers wait.
+  if (Owner.settings().IsFirstStart && !Peers.isSeed())
+    co_await waitForPeers();
   while (true) {
     if (!IsLost && bootTimeNow() - RegainedAt > LapseSpan)
       Peers.setLostStore(false);
--- a/Services/Gateway/StoreTask.h
+++ b/Services/Gateway/StoreTask.h
@@ -20,6 +20,7 @@
 
 private:
   boost::asio::awaitable<void> run();
+  boost::asio::awaitable<void> waitForPeers();
   boost::asio::awaitable<bool> readAll();
   boost::asio::awaitable<bool> watch();
   boost::asio::awaitable<void> pause(Duration span);
--- a/Tests/LibFleet/TestFleet.cpp
+++ b/Tests/LibFleet/TestFleet.cpp
@@ -131,7 +131,7 @@
   const auto reader =
       std::ranges::find_if(net.Vms, [&](const auto &it) { return it.second->isReader(net.Now); });
   const StoreDelta delta{.Items = {{.Key = "k", .Value = "v", .Revision = 2}}, .AsOf = 2};
-  const auto sends = reader->second->spread(delta, 1, true, net.Now);
+  const auto sends = reader->second->spread(delta, 1, net.Now);
   // Three other VMs of its data centre, and the readers of the two other ones.
   EXPECT_EQ(sends.size(), 5U);
 }
@@ -179,6 +179,20 @@
   EXPECT_GT(net.vm(3).self().Incarnation, 1U);
 }
 
+// Guards against a large configuration that fills the link of the VM which has it: 1,320 routes on
+// obiyama-gw-grown scale-1 came later than 2.5 s.
+TEST(Compression, MakesConfigurationsSmall) {
+  std::string plan;
+  for (int n = 0; n < 1320; ++n)
+    plan += R"({"name":"r-)" + std::to_string(n * 7919) +
+            R"(","host":"h.example","prefix":"/p/","route-kind":"safe","timeout":"800ms"})";
+  const std::string bytes = compress(plan);
+  EXPECT_LT(bytes.size() * 5, plan.size());
+  EXPECT_EQ(decompress(bytes, 2 * plan.size()), plan);
+  EXPECT_FALSE(decompress(bytes, plan.size() / 2));
+  EXPECT_FALSE(decompress("no compressed bytes", 1000));
+}
+
 // Guards against datagrams of other senders that end the process or become members.
 TEST(FleetCodec, RejectsOtherBytes) {
   EXPECT_FALSE(decodeFleetMessage("no message"));
