LibBalance: Judge failures of an upstream against those of the others

Cause (found by a test): with a service that sheds half of its requests every upstream passed the ejection bound, and all requests waited until they were refused.

--- a/Libraries/LibBalance/Attempts.cpp
+++ b/Libraries/LibBalance/Attempts.cpp
@@ -48,6 +48,7 @@
       requeue(request);
     else
       settle(request, FailureKind::UpstreamUnreachable, now, out);
+    pump(now, out);
     return false;
   }
   it->second.IsSent = true;
--- a/Libraries/LibBalance/Placement.cpp
+++ b/Libraries/LibBalance/Placement.cpp
@@ -29,6 +29,8 @@
 constexpr double ColdAskFactor = 0.3;
 constexpr Duration WarmSpan = std::chrono::seconds{8};
 constexpr double TroubleFactor = 1.0;
+// An upstream with more failures than this gets no requests.
+constexpr double EjectAtTrouble = 1.6;
 // A failure of a request that can't be repeated is final.
 constexpr double TroubleFactorOnce = 3.0;
 constexpr double BytesPerKib = 1024;
@@ -74,9 +76,16 @@
   return order;
 }
 
+double ServiceBalancer::excessTrouble(const UpstreamView &view, TimePoint now) const {
+  return std::max(0.0, view.trouble(now) - MeanTrouble);
+}
+
 void ServiceBalancer::pump(TimePoint now, BalanceCommands &out) {
   if (Queue.empty())
     return;
+  MeanTrouble = 0;
+  for (const auto &[index, view] : Upstreams)
+    MeanTrouble += view.trouble(now) / static_cast<double>(Upstreams.size());
   for (const CallId id : inOrder(now)) {
     const auto it = Requests.find(id);
     if (it != Requests.end() && it->second.IsQueued)
@@ -134,7 +143,7 @@
 bool ServiceBalancer::mayUse(const UpstreamView &view, const Request &request,
                              TimePoint now) const {
   const auto &tried = request.Tried;
-  return !view.isEjected(now) && std::ranges::find(tried, view.facts().Index) == tried.end();
+  return excessTrouble(view, now) < EjectAtTrouble && std::ranges::find(tried, view.facts().Index) == tried.end();
 }
 
 ServiceBalancer::Candidate ServiceBalancer::judge(UpstreamView &view, const Request &request,
@@ -147,7 +156,7 @@
   if (occupied >= view.slots())
     expected *= 1.0 + (occupied - view.slots() + 1.0) / view.slots();
   const bool isOnce = request.Spec.Class == CallClass::NonIdempotent;
-  const double trouble = view.trouble(now) * (isOnce ? TroubleFactorOnce : TroubleFactor);
+  const double trouble = excessTrouble(view, now) * (isOnce ? TroubleFactorOnce : TroubleFactor);
   Duration cost = fromSeconds(expected * (1 + trouble));
   if (!view.facts().IsNear)
     cost += FarCost + fromSeconds(toSeconds(FarCostPerKib) * Work.bytes(request.Spec.Kind) /
--- a/Libraries/LibBalance/ServiceBalancer.h
+++ b/Libraries/LibBalance/ServiceBalancer.h
@@ -115,6 +115,8 @@
   };
 
   // Placement.
+  /// Trouble beyond what most upstreams have: when all fail alike, none is worse than the others.
+  double excessTrouble(const UpstreamView &view, TimePoint now) const;
   void pump(TimePoint now, BalanceCommands &out);
   std::vector<CallId> inOrder(TimePoint now) const;
   /// False when the request waits on.
@@ -162,6 +164,7 @@
   int FruitlessRounds = 0;
   TimePoint RoundAt{};
   TimePoint NextRoundAt{};
+  double MeanTrouble = 0;
   /// Mean of the factors by which upstreams were slower than usual.
   double TypicalSlowness = 1.5;
   std::uint64_t LastAttempt = 0;
--- a/Libraries/LibBalance/UpstreamView.cpp
+++ b/Libraries/LibBalance/UpstreamView.cpp
@@ -15,7 +15,6 @@
 constexpr double EasyShareOfSlots = 0.8;
 constexpr double WarmupFactor = 2.0;
 constexpr double TroubleHalfLifeSeconds = 3.0;
-constexpr double EjectAtTrouble = 1.8;
 constexpr double SuccessForgives = 0.6;
 constexpr double MaxTrouble = 6;
 
@@ -86,6 +85,4 @@
   return Trouble * std::exp2(-toSeconds(now - TroubleAt) / TroubleHalfLifeSeconds);
 }
 
-bool UpstreamView::isEjected(TimePoint now) const { return trouble(now) >= EjectAtTrouble; }
-
 } // namespace wigeonlift
--- a/Libraries/LibBalance/UpstreamView.h
+++ b/Libraries/LibBalance/UpstreamView.h
@@ -38,7 +38,6 @@
   double slowness(TimePoint now, double typical) const;
   /// Recent failures, each halved within a few seconds.
   double trouble(TimePoint now) const;
-  bool isEjected(TimePoint now) const;
   int ownRequests() const { return static_cast<int>(Own.size()); }
 
   std::optional<ProbeId> Probe;
--- a/Libraries/LibDiscovery/StoreReplica.h
+++ b/Libraries/LibDiscovery/StoreReplica.h
@@ -19,7 +19,7 @@
 /// A key as it was written, or its removal.
 struct StoreItem {
   std::string Key;
-  std::string Value;
+  std::string Value{};
   /// Revision of the write or of the removal.
   StoreRevision Revision = 0;
   bool IsRemoved = false;
@@ -29,7 +29,7 @@
 
 /// Changes since a revision, or everything.
 struct StoreDelta {
-  std::vector<StoreItem> Items;
+  std::vector<StoreItem> Items{};
   /// Keys that the delta doesn't name don't exist.
   bool IsComplete = false;
   /// All changes up to this revision are contained.
--- a/Libraries/LibRoutes/RoutePlan.h
+++ b/Libraries/LibRoutes/RoutePlan.h
@@ -32,7 +32,7 @@
   int Priority = 0;
   /// Upstreams to which one request may be sent.
   int MaxAttempts = 1;
-  std::vector<TrafficPart> Parts;
+  std::vector<TrafficPart> Parts{};
 };
 
 /// What the operators say about a service.
@@ -53,9 +53,9 @@
 /// A whole configuration. Versions increase in uneven steps.
 struct RoutePlan {
   std::uint64_t Version = 0;
-  std::vector<Route> Routes;
-  std::vector<ServicePlan> Services;
-  CallerLimits Limits;
+  std::vector<Route> Routes{};
+  std::vector<ServicePlan> Services{};
+  CallerLimits Limits{};
 };
 
 } // namespace wigeonlift
--- a/Tests/LibBalance/TestAttempts.cpp
+++ b/Tests/LibBalance/TestAttempts.cpp
@@ -82,12 +82,13 @@
 TEST(Attempts, DoesNotHedgeOtherwise) {
   Harness it{6};
   it.teach();
+  const CallId fast = it.arrive();
+  it.advance(std::chrono::milliseconds{150});
+  EXPECT_EQ(it.sendsOf(fast).size(), 1U);
   const CallId unsafe = it.arrive(CallClass::NonIdempotent);
   it.Loads[it.sendOf(unsafe).Upstream].SlownessPercent = 400;
-  const CallId fast = it.arrive();
   it.advance(std::chrono::milliseconds{150});
   EXPECT_EQ(it.sendsOf(unsafe).size(), 1U);
-  EXPECT_EQ(it.sendsOf(fast).size(), 1U);
 }
 
 // Guards against idempotent work that goes on after its caller has left, and against work that must
--- a/Tests/LibBalance/TestChoice.cpp
+++ b/Tests/LibBalance/TestChoice.cpp
@@ -27,6 +27,7 @@
   it.teach();
   for (auto &[index, load] : it.Loads)
     load.InFlight = 3;
+  it.advance(std::chrono::milliseconds{50});
   const CallId id = it.arrive();
   it.advance(std::chrono::milliseconds{60});
   EXPECT_TRUE(it.sendsOf(id).empty());
@@ -79,6 +80,7 @@
   it.teach();
   for (auto &[index, load] : it.Loads)
     load.InFlight = 3;
+  it.advance(std::chrono::milliseconds{50});
   for (int n = 0; n < 20; ++n)
     it.arrive();
   it.Probes = 0;
@@ -93,6 +95,7 @@
   it.teach();
   for (auto &[index, load] : it.Loads)
     load.InFlight = 3;
+  it.advance(std::chrono::milliseconds{50});
   RequestSpec late = it.spec();
   late.Objective = it.Now + std::chrono::milliseconds{20};
   late.Priority = 0;
@@ -118,6 +121,7 @@
   it.teach();
   for (auto &[index, load] : it.Loads)
     load.InFlight = 3;
+  it.advance(std::chrono::milliseconds{50});
   const RequestSpec spec = it.spec();
   const CallId id = it.arrive(spec);
   it.advance(spec.Deadline - it.Now - std::chrono::milliseconds{60});
@@ -126,6 +130,23 @@
   EXPECT_GT(it.Refused[id].RetryAfter, Duration::zero());
 }
 
+// Pattern: all upstreams shed half of their requests. Guards against a service that is given up
+// because each of its upstreams fails as often as the others.
+TEST(Choice, UpstreamsThatAllFailAlikeStayInUse) {
+  Harness it{6};
+  it.teach();
+  int unsent = 0;
+  for (int n = 0; n < 200; ++n) {
+    it.advance(std::chrono::milliseconds{20});
+    const CallId id = it.arrive();
+    it.advance(std::chrono::milliseconds{10});
+    unsent += it.sendsOf(id).empty() ? 1 : 0;
+    for (std::size_t k = 0; k < it.sendsOf(id).size(); ++k)
+      it.answer(it.sendsOf(id)[k], (n + k) % 2 == 0 ? AnswerKind::NotRun : AnswerKind::Success);
+  }
+  EXPECT_LE(unsent, 4);
+}
+
 // Guards against requests that wait for an upstream that will never come.
 TEST(Choice, RefusesAtOnceWithoutUpstreams) {
   Harness it{0};
