--- a/Libraries/LibFleet/Fleet.cpp
+++ b/Libraries/LibFleet/Fleet.cpp
@@ -28,6 +28,7 @@
 constexpr int AssumedFleet = 12;
 constexpr Duration AssumeSpan = std::chrono::seconds{3};
 constexpr std::size_t ReadersPerDataCentre = 1;
+constexpr std::size_t FewReceivers = 2;
 // A VM that the store answered within this time reaches it.
 constexpr Duration RecentContact = std::chrono::milliseconds{1500};
 
@@ -104,25 +105,38 @@
 }
 
 std::vector<FleetSend> Fleet::spread(const StoreDelta &delta, StoreRevision after,
-                                     TimePoint now) {
-  std::vector<FleetSend> sends;
-  std::set<VmAddress> farReaders;
-  std::set<std::string> dataCentres;
-  for (const auto &[ip, peer] : Peers)
-    if (isAlive(peer, now) && !isNear(peer.Vm) && dataCentres.insert(peer.Vm.DataCentre).second)
-      for (const FleetVm &it : readersOf(peer.Vm.DataCentre, now))
-        farReaders.insert(it.Ip);
-  const FleetMessage out{
-      .Sender = Self, .Others = {}, .WantsAnswer = false, .Delta = delta, .DeltaAfter = after};
+                                     SpreadReach reach, TimePoint now) {
+  std::vector<VmAddress> receivers;
+  std::set<std::string> dataCentres{Self.DataCentre};
   for (const auto &[ip, peer] : Peers) {
-    if (!isAlive(peer, now) || peer.Vm.Revision >= delta.AsOf)
+    if (!isAlive(peer, now))
       continue;
-    if (isNear(peer.Vm) || farReaders.contains(ip))
-      sends.push_back({.To = ip, .Message = out});
+    if (isNear(peer.Vm)) {
+      if (peer.Vm.Revision < delta.AsOf)
+        receivers.push_back(ip);
+    } else if (reach == SpreadReach::NearAndFarReaders &&
+               dataCentres.insert(peer.Vm.DataCentre).second) {
+      for (const FleetVm &it : readersOf(peer.Vm.DataCentre, now))
+        if (it.Revision < delta.AsOf)
+          receivers.push_back(it.Ip);
+    }
   }
+  if (reach == SpreadReach::FewNear) {
+    std::ranges::shuffle(receivers, Rng.engine());
+    receivers.resize(std::min(receivers.size(), FewReceivers));
+  }
+  const FleetMessage out{.Sender = Self, .Delta = delta, .DeltaAfter = after};
+  std::vector<FleetSend> sends;
+  for (const VmAddress it : receivers)
+    sends.push_back({.To = it, .Message = out});
   return sends;
 }
 
+bool Fleet::isNear(VmAddress vm) const {
+  const auto it = Peers.find(vm);
+  return it != Peers.end() && isNear(it->second.Vm);
+}
+
 std::vector<FleetVm> Fleet::alive(TimePoint now) const {
   std::vector<FleetVm> result{Self};
   for (const auto &[ip, peer] : Peers)
--- a/Libraries/LibFleet/Fleet.h
+++ b/Libraries/LibFleet/Fleet.h
@@ -24,6 +24,13 @@
   Certain,  ///< No data centre reaches it, or did so until a moment ago.
 };
 
+/// To whom a change of the store is passed on.
+enum class SpreadReach : std::uint8_t {
+  NearAndFarReaders, ///< By a VM that has it from the store.
+  Near,              ///< By a VM that has it from another data centre.
+  FewNear,           ///< By all others, since datagrams get lost.
+};
+
 /// What this VM knows of the other VMs. Each VM sends a datagram to a near VM every beat and to a
 /// far one now and then; rows spread from VM to VM, and a row whose beat stands still is dead.
 /// Performs no I/O.
@@ -49,9 +56,10 @@
   std::vector<FleetSend> tick(TimePoint now);
   /// Takes over what a message says about VMs; returns answers.
   std::vector<FleetSend> didHear(const FleetMessage &message, TimePoint now);
-  /// Messages that bring a change of the store to the VMs that depend on this one: all near ones
-  /// and the readers of the other data centres.
-  std::vector<FleetSend> spread(const StoreDelta &delta, StoreRevision after, TimePoint now);
+  /// Messages that bring a change of the store to VMs that aren't known to have it.
+  std::vector<FleetSend> spread(const StoreDelta &delta, StoreRevision after, SpreadReach reach,
+                                TimePoint now);
+  bool isNear(VmAddress vm) const;
 
   const FleetVm &self() const { return Self; }
   /// All VMs that are alive, this one included.
--- a/Services/Gateway/FleetTask.cpp
+++ b/Services/Gateway/FleetTask.cpp
@@ -99,11 +99,8 @@
 void FleetTask::stop() { send(Members.stop(bootTimeNow())); }
 
 void FleetTask::didLearn(const StoreDelta &delta, StoreRevision after) {
-  const TimePoint now = bootTimeNow();
-  Members.didReachStore(now);
-  apply(delta, "store");
-  if (Replica.revision() > after)
-    send(Members.spread(delta, after, now));
+  Members.didReachStore(bootTimeNow());
+  apply(delta, after, "store", SpreadReach::NearAndFarReaders);
 }
 
 bool FleetTask::mustWatch() const {
@@ -153,7 +150,7 @@
   send(Members.didHear(message, now));
   if (message.Delta && Replica.revision() >= message.DeltaAfter &&
       message.Delta->AsOf > Replica.revision())
-    apply(*message.Delta, "peer");
+    applyFromPeer(*message.Delta, message.DeltaAfter, message.Sender.Ip);
   if (!IsPulling && Members.ahead(Replica.revision(), now)) {
     IsPulling = true;
     asio::co_spawn(Owner.context(), pull(), asio::detached);
@@ -171,7 +168,8 @@
       break;
     ++Pulls;
     const auto endpoint = *parseEndpoint(toText(*from, Owner.settings().FirstInternalPort));
-    const std::string target = fmt::format("{}{}", ReplicaTarget, Replica.revision());
+    const StoreRevision after = Replica.revision();
+    const std::string target = fmt::format("{}{}", ReplicaTarget, after);
     const auto response =
         co_await fetch(endpoint, HttpRequest{http::verb::get, target, 11}, PullTimeout);
     const auto bytes = response.ok() && response->result() == http::status::ok
@@ -179,7 +177,7 @@
                            : std::nullopt;
     const auto delta = bytes ? decodeStoreDelta(*bytes) : std::nullopt;
     if (delta)
-      apply(*delta, "peer");
+      applyFromPeer(*delta, after, *from);
     else
       Owner.eventLog().write(EventLog::Weight::Routine, "pull_failed",
                              {{"vm", toText(*from, CallersPort)}});
@@ -211,10 +209,19 @@
   co_return response;
 }
 
-void FleetTask::apply(const StoreDelta &delta, std::string_view source) {
+void FleetTask::applyFromPeer(const StoreDelta &delta, StoreRevision after, VmAddress from) {
+  apply(delta, after, "peer",
+        Members.isNear(from) ? SpreadReach::FewNear : SpreadReach::Near);
+}
+
+void FleetTask::apply(const StoreDelta &delta, StoreRevision after, std::string_view source,
+                      SpreadReach reach) {
   const TimePoint now = bootTimeNow();
+  const StoreRevision before = Replica.revision();
   const auto changes = Replica.apply(delta, now);
   Members.setRevision(Replica.revision());
+  if (Replica.revision() > before)
+    send(Members.spread(delta, after, reach, now));
   Owner.didLearn(changes, source, removalMeans(Members.storeAbsence(now)));
 }
 
--- a/Services/Gateway/FleetTask.h
+++ b/Services/Gateway/FleetTask.h
@@ -47,7 +47,9 @@
   const std::string &changesSince(StoreRevision after);
   boost::asio::awaitable<void> pull();
   void handle(const FleetMessage &message);
-  void apply(const StoreDelta &delta, std::string_view source);
+  void apply(const StoreDelta &delta, StoreRevision after, std::string_view source,
+             SpreadReach reach);
+  void applyFromPeer(const StoreDelta &delta, StoreRevision after, VmAddress from);
   void send(const std::vector<FleetSend> &sends);
   void sendOne(const FleetSend &send);
 
--- a/Tests/LibFleet/TestFleet.cpp
+++ b/Tests/LibFleet/TestFleet.cpp
@@ -131,11 +131,21 @@
   const auto reader =
       std::ranges::find_if(net.Vms, [&](const auto &it) { return it.second->isReader(net.Now); });
   const StoreDelta delta{.Items = {{.Key = "k", .Value = "v", .Revision = 2}}, .AsOf = 2};
-  const auto sends = reader->second->spread(delta, 1, net.Now);
+  const auto sends = reader->second->spread(delta, 1, SpreadReach::NearAndFarReaders, net.Now);
   // Three other VMs of its data centre, and the readers of the two other ones.
   EXPECT_EQ(sends.size(), 5U);
 }
 
+// Guards against a data centre whose reader has a change from another one and keeps it for itself
+// until the next beats: 2.6 s on a day of obiyama-gw-grown, where 2.5 s are allowed.
+TEST(Fleet, ChangesFromOtherDataCentresReachAllNearVms) {
+  Network net{12, 3};
+  net.run(std::chrono::seconds{4});
+  const StoreDelta delta{.Items = {{.Key = "k", .Value = "v", .Revision = 2}}, .AsOf = 2};
+  EXPECT_EQ(net.vm(1).spread(delta, 1, SpreadReach::Near, net.Now).size(), 3U);
+  EXPECT_EQ(net.vm(1).spread(delta, 1, SpreadReach::FewNear, net.Now).size(), 2U);
+}
+
 // Guards against small VMs that get as many callers as large ones.
 TEST(Fleet, LargeVmsAreListedMoreOften) {
   Network net{4, 1};
