--- a/Libraries/LibBalance/Attempts.cpp
+++ b/Libraries/LibBalance/Attempts.cpp
@@ -20,7 +20,8 @@
 constexpr double HedgeSilentFactor = 3.0;
 constexpr Duration MinHedgeDelay = std::chrono::milliseconds{20};
 constexpr Duration HedgeInterval = std::chrono::milliseconds{25};
-constexpr double SlowEnoughToHedge = 1.5;
+// Work that is left at least, as a share of the usual work, while no answer has come.
+constexpr double LeastWorkLeft = 0.15;
 
 // Callers that come back sooner than this find the same queue.
 constexpr Duration ShedRetryAfter = std::chrono::milliseconds{10};
@@ -228,6 +229,16 @@
   request.HedgeAt = lastChance > now + MinHedgeDelay ? std::min(lastChance, silent) : silent;
 }
 
+TimePoint ServiceBalancer::expectedEnd(const Attempt &attempt, Duration usual, double slowness,
+                                       TimePoint now) {
+  // When the upstream has turned slow is not known; half of the time is the best guess.
+  const double elapsed = toSeconds(now - attempt.StartedAt);
+  const double done = slowness > attempt.Slowness ? elapsed / 2 * (1 + 1 / slowness)
+                                                  : elapsed / attempt.Slowness;
+  const double work = toSeconds(usual);
+  return now + fromSeconds(std::max(work - done, LeastWorkLeft * work) * slowness);
+}
+
 void ServiceBalancer::checkHedge(Request &request, TimePoint now, BalanceCommands &out) {
   request.HedgeAt = TimePoint::max();
   if (request.IsQueued || request.Running.empty() || !mayRepeat(request, now))
@@ -237,9 +248,10 @@
   const bool isSilent =
       toSeconds(now - attempt.StartedAt) >= HedgeSilentFactor * toSeconds(usual) * attempt.Slowness;
   UpstreamView *at = view(attempt.Upstream);
-  const bool isSlow = at && at->isFresh(now) &&
-                      at->slowness(now, TypicalSlowness) >= SlowEnoughToHedge;
-  if (isSilent || isSlow || !at) {
+  const bool isTooSlow = at && at->isFresh(now) &&
+                         expectedEnd(attempt, usual, at->slowness(now, TypicalSlowness), now) >
+                             request.Spec.Objective;
+  if (isSilent || isTooSlow || !at) {
     request.IsQueued = true;
     request.WantsHedge = true;
     request.Rounds = 0;
--- a/Libraries/LibBalance/Placement.cpp
+++ b/Libraries/LibBalance/Placement.cpp
@@ -22,7 +22,7 @@
 // The way to another data centre and back.
 constexpr Duration FarCost = std::chrono::milliseconds{2};
 // Bytes between data centres are dear: the time that a near upstream may take longer, per KiB.
-constexpr Duration FarCostPerKib = std::chrono::milliseconds{2};
+constexpr Duration FarCostPerKib = std::chrono::milliseconds{4};
 // Far upstreams are asked when the near ones are thought to be slower than this.
 constexpr double FarAskFactor = 0.6;
 // Each new connection is work for the upstream, so those with an open one are asked first.
@@ -204,6 +204,7 @@
   ++Counts.Attempts;
   Counts.Hedges += attempt.IsHedge ? 1 : 0;
   Counts.SentToSlow += attempt.Slowness > GoodFactor ? 1 : 0;
+  Counts.SentFar += view.facts().IsNear ? 0 : 1;
   view.didSend(id, now);
   request.Tried.push_back(attempt.Upstream);
   request.Running.push_back(id);
--- a/Libraries/LibBalance/ServiceBalancer.h
+++ b/Libraries/LibBalance/ServiceBalancer.h
@@ -28,6 +28,8 @@
   std::uint64_t Refusals = 0;
   /// Attempts sent to an upstream whose last report said that it was slow.
   std::uint64_t SentToSlow = 0;
+  /// Attempts sent to another data centre.
+  std::uint64_t SentFar = 0;
 };
 
 /// How an attempt was chosen, for logs.
@@ -148,6 +150,8 @@
   bool mayRepeat(const Request &request, TimePoint now);
   void checkDeadline(Request &request, TimePoint now, BalanceCommands &out);
   void checkHedge(Request &request, TimePoint now, BalanceCommands &out);
+  static TimePoint expectedEnd(const Attempt &attempt, Duration usual, double slowness,
+                               TimePoint now);
   void armHedge(Request &request, const Candidate &candidate, TimePoint now);
   Duration retryAfter(const Request &request, FailureKind kind, TimePoint now) const;
 
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -152,6 +152,7 @@
              {"probes_denied", number(counts.ProbesDenied)},
              {"repeats_denied", number(counts.RepeatsDenied)},
              {"to_slow", number(counts.SentToSlow)},
+             {"far", number(counts.SentFar)},
              {"queued", number(task.balancer().queued())},
              {"work_ms", fmt::format("{:.1f}", toSeconds(task.balancer().typicalWork()) * 1e3)},
              {"slow", fmt::format("{:.2f}", task.balancer().typicalSlowness())},
