--- a/Libraries/LibBalance/Placement.cpp
+++ b/Libraries/LibBalance/Placement.cpp
@@ -23,7 +23,8 @@
 constexpr Duration FarCost = std::chrono::milliseconds{2};
 // Bytes between data centres are dear: the time that a near upstream may take longer, per KiB.
 constexpr Duration FarCostPerKib = std::chrono::milliseconds{4};
-// Far upstreams are asked when the near ones are thought to be slower than this.
+// Far upstreams are asked first when the near ones are thought to be slower than this share of the
+// work. The share halves with each round that finds nothing.
 constexpr double FarAskFactor = 0.6;
 // Each new connection is work for the upstream, so those with an open one are asked first.
 constexpr double ColdAskFactor = 0.3;
@@ -228,8 +229,9 @@
       continue;
     // VMs that know the same must not all ask, and then choose, the same upstreams.
     const double jitter = 1 - Spread / 2 + Spread * Rng.unit();
-    const double detour = (view.facts().IsNear ? 0 : FarAskFactor) +
-                          (view.hasReport() && view.reportAge(now) < WarmSpan ? 0 : ColdAskFactor);
+    const bool isWarm = view.hasReport() && view.reportAge(now) < WarmSpan;
+    const double detour = ((view.facts().IsNear ? 0 : FarAskFactor) + (isWarm ? 0 : ColdAskFactor)) *
+                          std::exp2(-request.Rounds);
     choices.push_back({toSeconds(judge(view, request, now).Cost) * jitter +
                            detour * toSeconds(work(request)),
                        &view});
