--- a/Libraries/LibBudget/RepeatBudget.cpp
+++ b/Libraries/LibBudget/RepeatBudget.cpp
@@ -9,7 +9,7 @@
 constexpr Duration StepSpan = std::chrono::milliseconds{100};
 // Upstreams count a repeat when it arrives, which may be later than it was taken here.
 constexpr Duration ArrivalSlack = std::chrono::milliseconds{500};
-constexpr double SafeShare = 0.9;
+constexpr double SafeShare = 0.95;
 
 } // namespace
 
--- a/Libraries/LibFleet/Fleet.cpp
+++ b/Libraries/LibFleet/Fleet.cpp
@@ -31,7 +31,7 @@
 constexpr Duration JoinSpan = std::chrono::seconds{5};
 constexpr std::uint64_t SeedBeats = 20;
 // A starting VM assumes a fleet of this size until it has heard of the others.
-constexpr int AssumedFleet = 12;
+constexpr double AssumedFleet = 12;
 constexpr Duration AssumeSpan = std::chrono::seconds{3};
 constexpr std::size_t ReadersPerDataCentre = 1;
 constexpr std::size_t FewReceivers = 2;
@@ -206,11 +206,14 @@
   return peers[Rng.below(peers.size())]->Vm.Ip;
 }
 
-int Fleet::budgetSize(TimePoint now) const {
-  const auto known = std::ranges::count_if(
-      Peers, [&](const auto &it) { return now - it.second.HeardAt < BudgetMemory; });
-  const int size = 1 + static_cast<int>(known);
-  return now - StartedAt < AssumeSpan ? std::max(size, AssumedFleet) : size;
+double Fleet::budgetShare(TimePoint now) const {
+  double known = Self.Weight;
+  for (const auto &[ip, peer] : Peers)
+    if (now - peer.HeardAt < BudgetMemory)
+      known += peer.Vm.Weight;
+  if (now - StartedAt < AssumeSpan)
+    known = std::max(known, AssumedFleet * static_cast<double>(Self.Weight));
+  return Self.Weight / known;
 }
 
 std::vector<VmAddress> Fleet::forCaller(std::string_view dataCentre, std::size_t most,
--- a/Services/Gateway/FleetTask.cpp
+++ b/Services/Gateway/FleetTask.cpp
@@ -122,7 +122,7 @@
     const TimePoint now = bootTimeNow();
     Members.setReady(Owner.isReady());
     send(Members.tick(now));
-    Owner.setFleetSize(Members.budgetSize(now));
+    Owner.setBudgetShare(Members.budgetShare(now));
     for (const auto &[ip, state] : Members.takeNews(now))
       Owner.eventLog().write(EventLog::Weight::Important, "member",
                              {{"vm", toText(ip, CallersPort)}, {"state", std::string{state}}});
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -16,7 +16,7 @@
 // The rest of the probes that an upstream may get is left to VMs that join unnoticed.
 constexpr double SafeProbeShare = 0.8;
 constexpr Duration FiguresInterval = std::chrono::seconds{5};
-constexpr double SafeRepeatShare = 0.9;
+constexpr double SafeRepeatShare = 0.95;
 
 } // namespace
 
@@ -88,8 +88,8 @@
   shareBudgets();
 }
 
-void Gateway::setFleetSize(int vms) {
-  if (std::exchange(FleetSize, std::max(1, vms)) != vms)
+void Gateway::setBudgetShare(double share) {
+  if (std::exchange(BudgetShare, share) != share)
     shareBudgets();
 }
 
@@ -111,10 +111,10 @@
 void Gateway::shareBudgets() {
   const FleetBounds &bounds = Settings.Bounds;
   for (const auto &[name, task] : Services) {
-    task->setRepeatBounds(bounds.RepeatRatio, SafeRepeatShare * bounds.RepeatExtra / FleetSize,
+    task->setRepeatBounds(bounds.RepeatRatio, SafeRepeatShare * bounds.RepeatExtra * BudgetShare,
                           bounds.RepeatWindow);
     task->setProbeRate(SafeProbeShare * bounds.ProbesPerUpstreamSecond *
-                       static_cast<double>(task->upstreams()) / FleetSize);
+                       static_cast<double>(task->upstreams()) * BudgetShare);
   }
 }
 
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -39,8 +39,8 @@
   /// Takes over keys of the store that have changed.
   void didLearn(std::span<const StoreItem> changes, std::string_view source, Removal removals);
   void setSettings(const GatewaySettings &settings);
-  /// VMs among which the budgets of the fleet are shared.
-  void setFleetSize(int vms);
+  /// Share of the fleet's budgets that this VM may spend.
+  void setBudgetShare(double share);
   void beginStop() { IsStopping = true; }
   /// Notices pauses of the process, drops what has expired and closes idle connections.
   void maintain(TimePoint now);
@@ -85,7 +85,7 @@
   std::map<std::string, std::uint32_t, std::less<>> Kinds;
   GatewayCounts Counts;
   std::uint64_t LastCall = 0;
-  int FleetSize = 1;
+  double BudgetShare = 0.05;
   bool IsStopping = false;
   TimePoint MaintainedAt{};
   TimePoint FiguresAt{};
--- a/Services/Gateway/ProxiedRequest.h
+++ b/Services/Gateway/ProxiedRequest.h
@@ -50,6 +50,7 @@
   std::string Route;
   std::string Service;
   int Attempts = 0;
+  TimePoint LastSentAt{};
 
 private:
   std::optional<RequestOutcome> Outcome;
--- a/Services/Gateway/RequestLog.cpp
+++ b/Services/Gateway/RequestLog.cpp
@@ -49,6 +49,7 @@
              {"up", std::string{upstream}},
              {"status", fmt::format("{}", status)},
              {"n", fmt::format("{}", request.Attempts)},
+             {"waited_ms", ms(request.LastSentAt - request.Spec.ArrivedAt)},
              {"took_ms", ms(now - request.Spec.ArrivedAt)}});
 }
 
--- a/Services/Gateway/ServiceTask.cpp
+++ b/Services/Gateway/ServiceTask.cpp
@@ -108,6 +108,7 @@
   const bool may = Balancer.maySend(attempt.Id, bootTimeNow(), out);
   if (may) {
     ++attempt.Request->Attempts;
+    attempt.Request->LastSentAt = bootTimeNow();
     Log.didSend(*attempt.Request, attempt.Upstream->Record.Id, *choice);
   }
   execute(std::move(out));
