--- /dev/null
+++ b/Meta/soak/judge.py
@@ -0,0 +1,84 @@
+"""Judges what callers and upstreams saw against the promises."""
+
+import collections
+import time
+
+PROMISES = ("own-answer", "whole-answer", "at-most-once", "not-run-is-true", "unasked", "draining", "configuration",
+            "goes-forward", "repeat-budget", "graceful-stop", "recovery")
+DRAIN_S = 2.0
+CONFIG_S = 2.0
+BUDGET_WINDOW_S = 10.0
+BUDGET_RATIO = 0.2
+BUDGET_EXTRA = 56
+# What the judge itself takes to notice an event.
+SLACK_S = 0.3
+
+
+class Judge:
+    def __init__(self):
+        self.found = []
+        self.requests = {}
+        self.runs = collections.defaultdict(list)
+        self.refused = {}
+        self.left_at = {}
+        self.arrivals = []
+        self.sent = []
+        self.outcomes = collections.Counter()
+        # Times from which and until which a promise with a bound is not judged: faults on its way.
+        self.disturbed = []
+
+    def broke(self, promise, what):
+        self.found.append((promise, what))
+
+    def is_disturbed(self, begin, end):
+        return any(begin < until and since < end for since, until in self.disturbed)
+
+    def did_send(self, attempt, kind, target, body):
+        self.requests[attempt] = (kind, target, body)
+        self.sent.append(time.monotonic())
+
+    def did_run(self, attempt, upstream, message):
+        now = time.monotonic()
+        known = self.requests.get(attempt)
+        if not known or known[1] != message.first[1] or known[2] != message.body:
+            return self.broke("unasked", f"{upstream.name} ran {attempt} {message.first[1]}")
+        if self.runs[attempt]:
+            self.arrivals.append(now)
+        self.runs[attempt].append((now, upstream.name))
+        if known[0] == "unsafe" and len(self.runs[attempt]) > 1:
+            self.broke("at-most-once", f"{attempt} ran at {[name for _, name in self.runs[attempt]]}")
+        if attempt in self.refused:
+            self.broke("not-run-is-true", f"{attempt} was refused with {self.refused[attempt]} and ran at {upstream.name}")
+        left = self.left_at.get(upstream.name)
+        if left and now > left + DRAIN_S + SLACK_S and not self.is_disturbed(left - 3, now):
+            self.broke("draining", f"{attempt} ran at {upstream.name} {now - left:.2f} s after it said that it leaves")
+
+    def did_answer(self, attempt, status, sealed, expected, is_whole, body):
+        self.outcomes[status] += 1
+        kind = self.requests[attempt][0]
+        if status == 200:
+            if not is_whole:
+                self.broke("whole-answer", f"{attempt} got {len(body)} bytes")
+            elif sealed != expected:
+                self.broke("own-answer", f"{attempt} got an answer that isn't its own")
+            elif not self.runs[attempt]:
+                self.broke("own-answer", f"{attempt} got a success and never ran")
+        if status in (408, 421, 429, 503):
+            self.refused[attempt] = status
+            if self.runs[attempt] and kind == "unsafe":
+                self.broke("not-run-is-true", f"{attempt} ran and was refused with {status}")
+
+    def did_break(self, attempt, is_planned_stop):
+        self.outcomes["broken"] += 1
+        if is_planned_stop and not self.is_disturbed(time.monotonic() - 3, time.monotonic()):
+            self.broke("graceful-stop", f"{attempt} was broken off by a graceful stop")
+
+    def check_budget(self):
+        begin = 0
+        for end, at in enumerate(self.arrivals):
+            while self.arrivals[begin] < at - BUDGET_WINDOW_S:
+                begin += 1
+            requests = sum(1 for t in self.sent if at - 1.5 * BUDGET_WINDOW_S <= t <= at)
+            if end - begin + 1 > BUDGET_RATIO * requests + BUDGET_EXTRA:
+                return self.broke("repeat-budget", f"{end - begin + 1} repeats for {requests} requests")
+        return None
--- /dev/null
+++ b/Meta/soak/plan.py
@@ -0,0 +1,177 @@
+"""The faults of a soak. One seed gives one plan."""
+
+import asyncio
+import signal
+import time
+
+from .callers import HOST
+
+SETTLE_S = 3.0
+
+
+def configuration(version, services, moved):
+    """Routes of all kinds; odd versions have one more route."""
+    def route(name, prefix, kind, service, timeout, target, priority):
+        return {"name": name, "host": HOST, "prefix": prefix, "route-kind": kind, "timeout": timeout,
+                "target-latency": target, "priority": priority, "service": service, "max-attempts": 2}
+    routes = [route("look", "/look/", "safe", services[0], "1200ms", "400ms", 2),
+              route("record", "/record/", "unsafe", services[1], "1500ms", "600ms", 1),
+              route("bulk", "/bulk/", "download", services[1 if moved else 0], "1500ms", "600ms", 2)]
+    if version % 2:
+        routes.append(route("odd", "/odd/", "safe", services[0], "1200ms", "400ms", 2))
+    return {"version": version, "routes": routes,
+            "services": [{"name": s, "health-check-path": "/health", "max-connections": 200} for s in services],
+            "limits": {"max-header-bytes": 16384, "max-body-bytes": 67108864, "header-timeout": "3000ms",
+                       "idle-timeout": "15000ms"}}
+
+
+class Plan:
+    """Runs faults in series that overlap. Each fault undoes itself."""
+
+    def __init__(self, soak, rng):
+        self.soak, self.rng = soak, rng
+        self.version = 1
+        self.log = []
+        self.faults = (self.kill_vm, self.pause_vm, self.stop_vm, self.stop_vm, self.store_fault, self.store_for_some,
+                       self.forget, self.reset_links, self.silence_links, self.cut_link, self.delay_links,
+                       self.spoil_answers, self.lose_answers, self.shed, self.crash_upstream, self.drain_upstream,
+                       self.drain_upstream, self.configure, self.configure, self.change_settings, self.kill_many)
+
+    async def run(self, until):
+        running = []
+        while time.monotonic() < until:
+            await asyncio.sleep(self.rng.uniform(0.3, 1.5))
+            fault = self.rng.choice(self.faults)
+            self.log.append((round(time.monotonic() - self.soak.began, 2), fault.__name__))
+            running.append(asyncio.ensure_future(fault()))
+        await asyncio.gather(*running)
+
+    def disturb(self, begin):
+        self.soak.judge.disturbed.append((begin, time.monotonic() + SETTLE_S))
+
+    async def during(self, begin_fault, end_fault, least_s, most_s):
+        """A fault that excuses promises with a bound while it lasts and shortly after."""
+        begin = time.monotonic()
+        entry = [begin, float("inf")]
+        self.soak.judge.disturbed.append(entry)
+        begin_fault()
+        await asyncio.sleep(self.rng.uniform(least_s, most_s))
+        end_fault()
+        entry[1] = time.monotonic() + SETTLE_S
+
+    async def kill_vm(self, vm=None):
+        vm = vm or self.rng.choice(self.soak.fleet.vms)
+        if not vm.is_running() or vm.stop_began:
+            return
+        begin = time.monotonic()
+        entry = [begin, float("inf")]
+        self.soak.judge.disturbed.append(entry)
+        await vm.kill()
+        await asyncio.sleep(self.rng.uniform(0.1, 1.0))
+        await vm.start()
+        entry[1] = time.monotonic() + SETTLE_S
+
+    async def kill_many(self):
+        await asyncio.gather(*(self.kill_vm(vm) for vm in self.soak.fleet.vms if self.rng.random() < 0.6))
+
+    async def pause_vm(self):
+        vm = self.rng.choice(self.soak.fleet.vms)
+        await self.during(lambda: vm.signal(signal.SIGSTOP), lambda: vm.signal(signal.SIGCONT), 0.5, 4)
+
+    async def stop_vm(self):
+        vm = self.rng.choice(self.soak.fleet.vms)
+        if not vm.is_running() or vm.stop_began:
+            return
+        await vm.stop_gracefully()
+        await vm.start()
+
+    async def store_fault(self):
+        fault = self.rng.choice(("busy", "many", "reset", "silent", "slow"))
+        await self.during(lambda: self.soak.store.set_fault(fault), lambda: self.soak.store.set_fault(None), 1, 5)
+
+    async def store_for_some(self):
+        """The store serves most VMs; promises with a bound hold for all."""
+        some = {vm.ip for vm in self.soak.fleet.vms[1:] if self.rng.random() < 0.3}
+        self.soak.store.set_fault(self.rng.choice(("busy", "many", "reset")), some)
+        await asyncio.sleep(self.rng.uniform(2, 6))
+        self.soak.store.set_fault(None)
+
+    async def forget(self):
+        self.soak.store.forget_history()
+
+    async def reset_links(self):
+        begin = time.monotonic()
+        for relay in self.some_relays():
+            relay.reset_all()
+        self.disturb(begin)
+
+    async def silence_links(self):
+        begin = time.monotonic()
+        for relay in self.some_relays():
+            relay.silence_all()
+        self.disturb(begin)
+
+    async def cut_link(self):
+        relays = self.some_relays()
+        way = self.rng.choice((("forth",), ("back",), ("forth", "back")))
+        await self.during(lambda: [r.stalled.update(way) for r in relays],
+                          lambda: [r.stalled.clear() for r in relays], 0.5, 3)
+
+    async def delay_links(self):
+        relays = self.some_relays()
+        delay_s = self.rng.uniform(0.005, 0.1)
+        await self.during(lambda: [setattr(r, "delay_s", delay_s) for r in relays],
+                          lambda: [setattr(r, "delay_s", 0.0) for r in relays], 1, 4)
+
+    async def spoil_answers(self):
+        await self.share("broken", 0.1)
+        await self.share("extra", 0.2)
+
+    async def lose_answers(self):
+        await self.share("lost", 0.2)
+
+    async def shed(self):
+        await self.share("shed", 0.5)
+
+    async def share(self, fault, most):
+        some = [u for u in self.soak.upstreams if self.rng.random() < 0.5]
+        for upstream in some:
+            setattr(upstream, fault, self.rng.uniform(0, most))
+        await asyncio.sleep(self.rng.uniform(1, 4))
+        for upstream in some:
+            setattr(upstream, fault, 0.0)
+
+    async def crash_upstream(self):
+        upstream = self.rng.choice(self.soak.upstreams)
+        upstream.crash()
+        await asyncio.sleep(self.rng.uniform(0.5, 3))
+        self.soak.store.remove(f"servers/{upstream.name}")
+        await self.soak.replace(upstream)
+
+    async def drain_upstream(self):
+        upstream = self.rng.choice(self.soak.upstreams)
+        if upstream.name in self.soak.judge.left_at:
+            return
+        at = self.soak.store.put(f"servers/{upstream.name}", upstream.entry("draining"))
+        if self.soak.store.is_stable(at, SETTLE_S):
+            self.soak.judge.left_at[upstream.name] = at
+        await asyncio.sleep(4)
+        self.soak.store.remove(f"servers/{upstream.name}")
+        upstream.crash()
+        await self.soak.replace(upstream)
+
+    async def configure(self):
+        for _ in range(self.rng.choice((1, 1, 3))):
+            self.version += self.rng.choice((1, 2, 3))
+            self.soak.store.put("op/config", configuration(self.version, self.soak.services, self.rng.random() < 0.5))
+            await asyncio.sleep(self.rng.uniform(0.05, 0.4))
+
+    async def change_settings(self):
+        vm = self.rng.choice(self.soak.fleet.vms)
+        vm.extra += 1
+        vm.write_settings()
+        if self.rng.random() < 0.5:
+            vm.signal(signal.SIGHUP)
+
+    def some_relays(self):
+        return [relay for relay in self.soak.relays.values() if self.rng.random() < 0.4]
--- /dev/null
+++ b/Meta/soak/store.py
@@ -0,0 +1,118 @@
+"""Stand-in of the platform's store: keys with revisions, pages, watches, a bounded history, and faults."""
+
+import asyncio
+import base64
+import json
+import time
+import urllib.parse
+
+from . import wire
+
+PAGE_ITEMS = 50
+HANG_S = 3600
+
+
+class Store:
+    def __init__(self, address):
+        self.address = address
+        self.items = {}
+        self.history = []
+        self.revision = 1
+        self.forgotten = 0
+        self.changed = asyncio.Event()
+        # Fault for all callers, or for those whose address is in the set: busy, many, reset, silent, slow.
+        self.fault = None
+        self.refused = None
+        self.disturbed_until = 0.0
+        self.calls = 0
+
+    async def start(self):
+        host, port = self.address.split(":")
+        return await asyncio.start_server(self.serve, host, int(port))
+
+    def put(self, key, value):
+        self.revision += 1
+        self.items[key] = (json.dumps(value).encode() if not isinstance(value, bytes) else value, self.revision)
+        self.record({"key": key, "value": base64.b64encode(self.items[key][0]).decode(), "revision": self.revision,
+                     "create-revision": self.revision, "lease": 0})
+        return time.monotonic()
+
+    def remove(self, key):
+        if self.items.pop(key, None):
+            self.revision += 1
+            self.record({"key": key, "revision": self.revision, "deleted": True})
+        return time.monotonic()
+
+    def record(self, event):
+        self.history.append(event)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def forget_history(self):
+        self.history.clear()
+        self.forgotten = self.revision
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def is_stable(self, now, settle_s):
+        return self.fault is None and now - self.disturbed_until > settle_s
+
+    def set_fault(self, fault, refused=None):
+        if self.fault is not None:
+            self.disturbed_until = time.monotonic()
+        self.fault, self.refused = fault, refused
+
+    async def serve(self, reader, writer):
+        try:
+            while (message := await wire.read_message(reader)) is not None:
+                self.calls += 1
+                answer = await self.answer(message, writer.get_extra_info("peername")[0])
+                if answer is None:
+                    return wire.reset(writer)
+                writer.write(answer)
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    async def answer(self, message, caller):
+        if self.fault and (self.refused is None or caller in self.refused):
+            if self.fault == "silent":
+                await asyncio.sleep(HANG_S)
+            if self.fault == "reset":
+                return None
+            if self.fault == "slow":
+                await asyncio.sleep(0.3)
+            else:
+                return wire.response(503 if self.fault == "busy" else 429)
+        path, _, text = message.first[1].partition("?")
+        query = dict(urllib.parse.parse_qsl(text, keep_blank_values=True))
+        if path == "/v1/kv-range":
+            return self.page(query)
+        if path == "/v1/kv-watch":
+            return await self.watch(query)
+        return wire.response(404)
+
+    def page(self, query):
+        keys = sorted(k for k in self.items if k.startswith(query.get("prefix", "")) and k > query.get("after", ""))
+        items = [{"key": k, "value": base64.b64encode(self.items[k][0]).decode(), "revision": self.items[k][1],
+                  "create-revision": self.items[k][1], "lease": 0} for k in keys[:PAGE_ITEMS]]
+        body = {"items": items, "has-more": len(keys) > PAGE_ITEMS, "as-of": self.revision}
+        return wire.response(200, json.dumps(body).encode())
+
+    async def watch(self, query):
+        after = int(query["after"])
+        end = time.monotonic() + int(query["wait-ms"]) / 1000
+        while True:
+            if after < self.forgotten:
+                return wire.response(410)
+            events = [e for e in self.history if e["revision"] > after]
+            left = end - time.monotonic()
+            if events or left <= 0:
+                body = {"events": events, "as-of": self.revision}
+                return wire.response(200, json.dumps(body).encode())
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
