--- a/Libraries/LibPlatform/BoostJson.cpp
+++ b/Libraries/LibJson/BoostJson.cpp
@@ -1,3 +1,2 @@
-// The definitions of Boost.JSON, which is used as a header-only library. One object file of a
-// program may hold them.
+// The definitions of Boost.JSON, which is used as a header-only library.
 #include <boost/json/src.hpp>
--- /dev/null
+++ b/Meta/soak/planted.py
@@ -0,0 +1,68 @@
+"""Breaks each promise once on purpose and shows that the judge sees it."""
+
+import sys
+import time
+
+from .judge import PROMISES, Judge
+from .wire import Message
+
+
+class Place:
+    name = "i-1"
+
+
+def message(target="/look/x", body=b""):
+    return Message(["GET", target, "HTTP/1.1"], {}, body)
+
+
+def planted():
+    """Yields each promise with a judge that has seen it broken."""
+    def judge(kind="safe"):
+        it = Judge()
+        it.did_send("x", kind, "/look/x", b"")
+        return it
+
+    it = judge()
+    it.did_run("x", Place, message())
+    it.did_answer("x", 200, "seal of another", "own seal", True, b"body")
+    yield "own-answer", it
+    it = judge()
+    it.did_run("x", Place, message())
+    it.did_answer("x", 200, "seal", "seal", False, b"bo")
+    yield "whole-answer", it
+    it = judge("unsafe")
+    it.did_run("x", Place, message())
+    it.did_run("x", Place, message())
+    yield "at-most-once", it
+    it = judge("unsafe")
+    it.did_answer("x", 503, "", "", True, b"")
+    it.did_run("x", Place, message())
+    yield "not-run-is-true", it
+    it = judge()
+    it.did_run("x", Place, message("/look/x?changed"))
+    yield "unasked", it
+    it = judge()
+    it.left_at["i-1"] = time.monotonic() - 3
+    it.did_run("x", Place, message())
+    yield "draining", it
+    it = judge()
+    it.did_break("x", True)
+    yield "graceful-stop", it
+    it = judge()
+    for _ in range(60):
+        it.did_run("x", Place, message())
+    it.check_budget()
+    yield "repeat-budget", it
+
+
+def main():
+    missed = [promise for promise, judge in planted() if promise not in {found for found, _ in judge.found}]
+    # Judged by questions to the real processes, which have no switch to break them.
+    asked = {"configuration", "recovery"}
+    unknown = set(PROMISES) - {promise for promise, _ in planted()} - asked
+    print(f"{len(list(planted())) - len(missed)} planted faults seen, missed: {missed or 'none'}, without one: {sorted(unknown)}")
+    sys.exit(1 if missed or unknown else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/Services/Ctl/Commands.cpp
+++ b/Services/Ctl/Commands.cpp
@@ -5,6 +5,7 @@
 #include <LibHttp/LibHttp.h>
 #include <LibSettings/LibSettings.h>
 #include <Services/Ctl/CatalogueFiles.h>
+#include <Services/Ctl/Explain.h>
 
 #include <fmt/ostream.h>
 
@@ -98,8 +99,10 @@
     return showState(words[1], streams);
   if (words.size() == 2 && words[0] == "which")
     return showEntries(words[1], streams);
+  if (words.size() >= 3 && words[0] == "explain")
+    return explainRequest(words[1], words.subspan(2), streams);
   fmt::print(streams.Err, "usage: wigeonlift-ctl check FILE | digest FILE... | state ADDRESS | "
-                          "which ADDRESS\n");
+                          "which ADDRESS | explain ID FILE...\n");
   return ExitCode::Usage;
 }
 
--- a/Services/Gateway/Ports.cpp
+++ b/Services/Gateway/Ports.cpp
@@ -2,7 +2,7 @@
 
 #include <platform/Platform.h>
 
-#include <boost/json.hpp>
+#include <LibJson/LibJson.h>
 
 #include <fmt/format.h>
 
