--- a/Libraries/LibBalance/Placement.cpp
+++ b/Libraries/LibBalance/Placement.cpp
@@ -8,11 +8,14 @@
 namespace {
 
 constexpr int ProbesPerRound = 3;
+// A long queue needs several upstreams from one round.
+constexpr int MaxProbesPerRound = 12;
 // Rounds of probes after which a request takes an upstream that isn't idle and fast.
 constexpr int RoundsForGood = 2;
 // Rounds that find nothing are followed by longer and longer pauses.
 constexpr Duration FirstRoundInterval = std::chrono::milliseconds{2};
 constexpr Duration LastRoundInterval = std::chrono::milliseconds{16};
+constexpr Duration LateRoundInterval = std::chrono::milliseconds{60};
 constexpr int MaxDoublings = 3;
 // Probes answer within a round trip; a request doesn't wait longer for the rest of them.
 constexpr Duration ProbePatience = std::chrono::milliseconds{6};
@@ -87,6 +90,8 @@
   MeanTrouble = 0;
   for (const auto &[index, view] : Upstreams)
     MeanTrouble += view.trouble(now) / static_cast<double>(Upstreams.size());
+  TimelyQueued = static_cast<int>(std::ranges::count_if(
+      Queue, [&](CallId id) { return !isLate(Requests.at(id), now); }));
   for (const CallId id : inOrder(now)) {
     const auto it = Requests.find(id);
     if (it != Requests.end() && it->second.IsQueued)
@@ -119,6 +124,9 @@
     const int doublings = std::min(FruitlessRounds++, MaxDoublings);
     RoundAt = now;
     NextRoundAt = now + FirstRoundInterval * (1 << doublings);
+    // What is late anyway must not use up the probes of what comes next.
+    if (isLate(request, now))
+      NextRoundAt = now + LateRoundInterval;
     return false;
   }
   NextRoundAt = now + LastRoundInterval;
@@ -175,12 +183,11 @@
                                    TimePoint now) const {
   if (request.WantsHedge)
     return false;
-  if (candidate.View->occupied() >= candidate.View->slots())
+  // The last slot would slow all requests at the upstream down, and with it the service.
+  if (candidate.View->occupied() >= candidate.View->easySlots())
     return false;
-  if (now + candidate.Expected <= request.Spec.Objective)
-    return true;
-  return isLate(request, now) && candidate.View->occupied() < candidate.View->easySlots() &&
-         now + candidate.Expected <= request.Spec.Deadline;
+  return now + candidate.Expected <= request.Spec.Objective ||
+         (isLate(request, now) && now + candidate.Expected <= request.Spec.Deadline);
 }
 
 void ServiceBalancer::start(Request &request, const Candidate &candidate, TimePoint now,
@@ -237,9 +244,10 @@
                        &view});
   }
   std::ranges::sort(choices, {}, &Choice::Cost);
+  const int wanted = std::clamp(TimelyQueued, ProbesPerRound, MaxProbesPerRound);
   int asked = 0;
   for (const Choice &it : choices) {
-    if (asked >= ProbesPerRound || !ask(*it.View, now, out))
+    if (asked >= wanted || !ask(*it.View, now, out))
       break;
     ++asked;
   }
--- a/Libraries/LibBalance/ServiceBalancer.cpp
+++ b/Libraries/LibBalance/ServiceBalancer.cpp
@@ -12,6 +12,7 @@
 constexpr Duration ProbeSpan = std::chrono::seconds{8};
 constexpr double SilentProbeTrouble = 1.0;
 constexpr double FailedProbeTrouble = 1.0;
+constexpr int SlowPercent = 130;
 constexpr double SlownessGain = 0.02;
 
 } // namespace
@@ -74,6 +75,10 @@
   if (UpstreamView *asked = view(it->second); asked && asked->Probe == id) {
     asked->didReport(report, asked->ProbedAt, now);
     asked->Probe.reset();
+    if (report.SlownessPercent > SlowPercent)
+      ++Counts.ProbesOfSlow;
+    else if (asked->occupied() >= asked->easySlots())
+      ++Counts.ProbesOfFull;
     TypicalSlowness += SlownessGain * (report.SlownessPercent / 100.0 - TypicalSlowness);
   }
   Probes.erase(it);
--- a/Libraries/LibBalance/ServiceBalancer.h
+++ b/Libraries/LibBalance/ServiceBalancer.h
@@ -25,6 +25,9 @@
   /// Probes that the rate did not allow, and repeats that the budget did not.
   std::uint64_t ProbesDenied = 0;
   std::uint64_t RepeatsDenied = 0;
+  /// Probe answers of upstreams that were slow, and of others that had no easy slot.
+  std::uint64_t ProbesOfSlow = 0;
+  std::uint64_t ProbesOfFull = 0;
   std::uint64_t Refusals = 0;
   /// Attempts sent to an upstream whose last report said that it was slow.
   std::uint64_t SentToSlow = 0;
@@ -166,6 +169,8 @@
   TokenBucket ProbeRate;
   /// Rounds of probes since the last one that brought a request to an upstream.
   int FruitlessRounds = 0;
+  /// Queued requests that can still meet their objective.
+  int TimelyQueued = 0;
   TimePoint RoundAt{};
   TimePoint NextRoundAt{};
   double MeanTrouble = 0;
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -149,6 +149,8 @@
              {"hedge_wins", number(counts.HedgeWins)},
              {"refused", number(counts.Refusals)},
              {"probes", number(counts.Probes)},
+             {"probes_slow", number(counts.ProbesOfSlow)},
+             {"probes_full", number(counts.ProbesOfFull)},
              {"probes_denied", number(counts.ProbesDenied)},
              {"repeats_denied", number(counts.RepeatsDenied)},
              {"to_slow", number(counts.SentToSlow)},
