--- a/Libraries/LibBalance/Attempts.cpp
+++ b/Libraries/LibBalance/Attempts.cpp
@@ -183,10 +183,10 @@
 void ServiceBalancer::refuse(Request &request, FailureKind kind, TimePoint now,
                              BalanceCommands &out) {
   ++Counts.Refusals;
-  const Failure failure{.Kind = kind,
-                        .Executed = request.PossibleRuns > 0 ? Execution::Unknown : Execution::NotRun,
-                        .RetryAfter =
-                            request.PossibleRuns > 0 ? Duration{} : retryAfter(request, kind, now)};
+  const Failure failure{
+      .Kind = kind,
+      .Executed = request.PossibleRuns > 0 ? Execution::Unknown : Execution::NotRun,
+      .RetryAfter = request.PossibleRuns > 0 ? Duration{} : retryAfter(request, kind, now)};
   const CallId id = request.Spec.Id;
   end(request, out);
   out.push_back(RefuseRequest{.Call = id, .Reason = failure});
@@ -213,7 +213,8 @@
     out.push_back(AbandonAttempt{id});
     dropAttempt(id);
   }
-  refuse(request, request.PossibleRuns > 0 ? FailureKind::DeadlineExceeded : FailureKind::Overloaded, now,
+  refuse(request,
+         request.PossibleRuns > 0 ? FailureKind::DeadlineExceeded : FailureKind::Overloaded, now,
          out);
 }
 
@@ -233,8 +234,8 @@
                                        TimePoint now) {
   // When the upstream has turned slow is not known; half of the time is the best guess.
   const double elapsed = toSeconds(now - attempt.StartedAt);
-  const double done = slowness > attempt.Slowness ? elapsed / 2 * (1 + 1 / slowness)
-                                                  : elapsed / attempt.Slowness;
+  const double done =
+      slowness > attempt.Slowness ? elapsed / 2 * (1 + 1 / slowness) : elapsed / attempt.Slowness;
   const double work = toSeconds(usual);
   return now + fromSeconds(std::max(work - done, LeastWorkLeft * work) * slowness);
 }
@@ -248,14 +249,14 @@
   const bool isSilent =
       toSeconds(now - attempt.StartedAt) >= HedgeSilentFactor * toSeconds(usual) * attempt.Slowness;
   UpstreamView *at = view(attempt.Upstream);
-  const bool isTooSlow = at && at->isFresh(now) &&
-                         expectedEnd(attempt, usual, at->slowness(now, TypicalSlowness), now) >
-                             request.Spec.Objective;
+  const bool isTooSlow =
+      at && at->isFresh(now) &&
+      expectedEnd(attempt, usual, at->slowness(now, TypicalSlowness), now) > request.Spec.Objective;
   if (isSilent || isTooSlow || !at) {
     request.IsQueued = true;
     request.WantsHedge = true;
     request.Rounds = 0;
-      Queue.insert(request.Spec.Id);
+    Queue.insert(request.Spec.Id);
     return;
   }
   // Asks whether the upstream has turned slow, and looks at the answer in a moment.
@@ -263,8 +264,7 @@
     ask(*at, now, out);
   const TimePoint again = now + (at->isFresh(now) ? HedgeInterval : std::chrono::milliseconds{5});
   const TimePoint silent =
-      attempt.StartedAt +
-      fromSeconds(HedgeSilentFactor * toSeconds(usual) * attempt.Slowness);
+      attempt.StartedAt + fromSeconds(HedgeSilentFactor * toSeconds(usual) * attempt.Slowness);
   request.HedgeAt = now + usual <= request.Spec.Objective ? again : std::max(silent, again);
 }
 
--- a/Libraries/LibBalance/Placement.cpp
+++ b/Libraries/LibBalance/Placement.cpp
@@ -90,8 +90,8 @@
   MeanTrouble = 0;
   for (const auto &[index, view] : Upstreams)
     MeanTrouble += view.trouble(now) / static_cast<double>(Upstreams.size());
-  TimelyQueued = static_cast<int>(std::ranges::count_if(
-      Queue, [&](CallId id) { return !isLate(Requests.at(id), now); }));
+  TimelyQueued = static_cast<int>(
+      std::ranges::count_if(Queue, [&](CallId id) { return !isLate(Requests.at(id), now); }));
   for (const CallId id : inOrder(now)) {
     const auto it = Requests.find(id);
     if (it != Requests.end() && it->second.IsQueued)
@@ -101,8 +101,9 @@
 
 bool ServiceBalancer::place(Request &request, TimePoint now, BalanceCommands &out) {
   if (request.Running.empty() && isHopeless(request, now)) {
-    refuse(request, request.PossibleRuns > 0 ? FailureKind::ConnectionLost : FailureKind::Overloaded,
-           now, out);
+    refuse(request,
+           request.PossibleRuns > 0 ? FailureKind::ConnectionLost : FailureKind::Overloaded, now,
+           out);
     return true;
   }
   const auto found = best(request, now);
@@ -152,7 +153,8 @@
 bool ServiceBalancer::mayUse(const UpstreamView &view, const Request &request,
                              TimePoint now) const {
   const auto &tried = request.Tried;
-  return excessTrouble(view, now) < EjectAtTrouble && std::ranges::find(tried, view.facts().Index) == tried.end();
+  return excessTrouble(view, now) < EjectAtTrouble &&
+         std::ranges::find(tried, view.facts().Index) == tried.end();
 }
 
 ServiceBalancer::Candidate ServiceBalancer::judge(UpstreamView &view, const Request &request,
@@ -168,13 +170,12 @@
   const double trouble = excessTrouble(view, now) * (isOnce ? TroubleFactorOnce : TroubleFactor);
   Duration cost = fromSeconds(expected * (1 + trouble));
   if (!view.facts().IsNear)
-    cost += FarCost + fromSeconds(toSeconds(FarCostPerKib) * Work.bytes(request.Spec.Kind) /
-                                  BytesPerKib);
+    cost += FarCost +
+            fromSeconds(toSeconds(FarCostPerKib) * Work.bytes(request.Spec.Kind) / BytesPerKib);
   return {.View = &view, .Expected = fromSeconds(expected), .Cost = cost};
 }
 
-bool ServiceBalancer::isGood(const Candidate &candidate, const Request &request,
-                             TimePoint) const {
+bool ServiceBalancer::isGood(const Candidate &candidate, const Request &request, TimePoint) const {
   return candidate.View->occupied() < candidate.View->easySlots() &&
          toSeconds(candidate.Cost) <= GoodFactor * toSeconds(work(request)) + toSeconds(FarCost);
 }
@@ -237,11 +238,12 @@
     // VMs that know the same must not all ask, and then choose, the same upstreams.
     const double jitter = 1 - Spread / 2 + Spread * Rng.unit();
     const bool isWarm = view.hasReport() && view.reportAge(now) < WarmSpan;
-    const double detour = ((view.facts().IsNear ? 0 : FarAskFactor) + (isWarm ? 0 : ColdAskFactor)) *
-                          std::exp2(-request.Rounds);
-    choices.push_back({toSeconds(judge(view, request, now).Cost) * jitter +
-                           detour * toSeconds(work(request)),
-                       &view});
+    const double detour =
+        ((view.facts().IsNear ? 0 : FarAskFactor) + (isWarm ? 0 : ColdAskFactor)) *
+        std::exp2(-request.Rounds);
+    choices.push_back(
+        {toSeconds(judge(view, request, now).Cost) * jitter + detour * toSeconds(work(request)),
+         &view});
   }
   std::ranges::sort(choices, {}, &Choice::Cost);
   const int wanted = std::clamp(TimelyQueued, ProbesPerRound, MaxProbesPerRound);
--- a/Libraries/LibBalance/ServiceBalancer.cpp
+++ b/Libraries/LibBalance/ServiceBalancer.cpp
@@ -42,8 +42,7 @@
   ProbeRate.setRate(probesPerSecond, ProbeSpan, now);
 }
 
-void ServiceBalancer::requestArrived(const RequestSpec &spec, TimePoint now,
-                                     BalanceCommands &out) {
+void ServiceBalancer::requestArrived(const RequestSpec &spec, TimePoint now, BalanceCommands &out) {
   ++Counts.Requests;
   Repeats.didRequest(now);
   const auto [it, isNew] = Requests.try_emplace(spec.Id);
--- a/Libraries/LibBalance/UpstreamView.cpp
+++ b/Libraries/LibBalance/UpstreamView.cpp
@@ -74,8 +74,8 @@
   if (!HasReport)
     return typical * warmup;
   const double known = std::max(1.0, Report.SlownessPercent / 100.0);
-  const double trust = isFresh(now) ? 1.0
-                                    : std::exp(-toSeconds(reportAge(now)) / SlownessMemorySeconds);
+  const double trust =
+      isFresh(now) ? 1.0 : std::exp(-toSeconds(reportAge(now)) / SlownessMemorySeconds);
   return (trust * known + (1 - trust) * typical) * warmup;
 }
 
--- a/Libraries/LibBudget/RepeatBudget.h
+++ b/Libraries/LibBudget/RepeatBudget.h
@@ -6,8 +6,8 @@
 
 namespace wigeonlift {
 
-/// Bounds the repeats of a service in every sliding window: a share of the requests in it, plus this
-/// VM's part of an allowance that all VMs have in common.
+/// Bounds the repeats of a service in every sliding window: a share of the requests in it, plus
+/// this VM's part of an allowance that all VMs have in common.
 class RepeatBudget {
 public:
   explicit RepeatBudget(TimePoint startedAt) : StartedAt(startedAt) {}
--- a/Libraries/LibDiscovery/StoreReplica.cpp
+++ b/Libraries/LibDiscovery/StoreReplica.cpp
@@ -24,7 +24,7 @@
   for (const StoreItem &it : delta.Items) {
     const auto known = Items.find(it.Key);
     const auto removed = RemovedAt.find(it.Key);
-    const StoreRevision had = known != Items.end()          ? known->second.Revision
+    const StoreRevision had = known != Items.end()         ? known->second.Revision
                               : removed != RemovedAt.end() ? removed->second
                                                            : 0;
     if (it.Revision <= had)
@@ -57,7 +57,8 @@
 }
 
 StoreDelta StoreReplica::since(StoreRevision revision) const {
-  StoreDelta delta{.Items = {}, .IsComplete = revision < ForgottenUpTo || revision == 0, .AsOf = AsOf};
+  StoreDelta delta{
+      .Items = {}, .IsComplete = revision < ForgottenUpTo || revision == 0, .AsOf = AsOf};
   for (const auto &[key, item] : Items)
     if (delta.IsComplete || item.Revision > revision)
       delta.Items.push_back(item);
--- a/Libraries/LibDiscovery/UpstreamList.h
+++ b/Libraries/LibDiscovery/UpstreamList.h
@@ -43,8 +43,8 @@
 
 /// The upstreams of all services that take new work, by what the store says.
 ///
-/// An upstream whose entry is removed leaves at once. The exception are entries that may have lapsed
-/// while the store was out of reach: they leave when they are still missing after a while.
+/// An upstream whose entry is removed leaves at once. The exception are entries that may have
+/// lapsed while the store was out of reach: they leave when they are still missing after a while.
 class UpstreamList {
 public:
   /// An entry was written. Returns whether anything but the remaining warm-up changed.
--- a/Libraries/LibFleet/Fleet.cpp
+++ b/Libraries/LibFleet/Fleet.cpp
@@ -273,7 +273,7 @@
 }
 
 std::vector<const Fleet::Peer *> Fleet::freshest(bool isNearWanted, std::size_t most,
-                                                  TimePoint now) const {
+                                                 TimePoint now) const {
   std::vector<const Peer *> peers;
   for (const auto &[ip, peer] : Peers)
     if (isAlive(peer, now) && isNear(peer.Vm) == isNearWanted)
--- a/Libraries/LibFleet/Fleet.h
+++ b/Libraries/LibFleet/Fleet.h
@@ -73,8 +73,9 @@
   StoreAbsence storeAbsence(TimePoint now) const;
   /// A VM whose replica is ahead of a revision, a near one if there is one.
   std::optional<VmAddress> ahead(StoreRevision revision, TimePoint now);
-  /// This VM's share of what the fleet may spend together, in proportion to the callers that it gets.
-  /// VMs that have fallen silent keep theirs for a while, since they may only be out of reach.
+  /// This VM's share of what the fleet may spend together, in proportion to the callers that it
+  /// gets. VMs that have fallen silent keep theirs for a while, since they may only be out of
+  /// reach.
   double budgetShare(TimePoint now) const;
   /// VMs for a caller in a data centre, chosen in proportion to their weights.
   std::vector<VmAddress> forCaller(std::string_view dataCentre, std::size_t most, TimePoint now);
--- a/Libraries/LibHttp/CallerConnection.cpp
+++ b/Libraries/LibHttp/CallerConnection.cpp
@@ -210,8 +210,6 @@
   Socket.close(ec);
 }
 
-void CallerConnection::expectWithin(Duration span) {
-  ExpiresAt = bootTimeNow() + span;
-}
+void CallerConnection::expectWithin(Duration span) { ExpiresAt = bootTimeNow() + span; }
 
 } // namespace wigeonlift
--- a/Libraries/LibHttp/UpstreamConnection.cpp
+++ b/Libraries/LibHttp/UpstreamConnection.cpp
@@ -78,8 +78,8 @@
   co_return !ec;
 }
 
-asio::awaitable<const HttpResponseHead *>
-UpstreamConnection::readHead(bool isHeadRequest, OpenEnd openEnd) {
+asio::awaitable<const HttpResponseHead *> UpstreamConnection::readHead(bool isHeadRequest,
+                                                                       OpenEnd openEnd) {
   while (true) {
     auto &parser = Reader->Response.emplace();
     parser.header_limit(MaxHeadBytes);
--- a/Libraries/LibHttp/UpstreamConnection.h
+++ b/Libraries/LibHttp/UpstreamConnection.h
@@ -43,7 +43,8 @@
   /// Reads the head of the response, which stays valid until the next request; null when the
   /// connection broke, the head is malformed, or nothing marks the end of the body where that is
   /// refused.
-  boost::asio::awaitable<const HttpResponseHead *> readHead(bool isHeadRequest, OpenEnd openEnd = OpenEnd::Refused);
+  boost::asio::awaitable<const HttpResponseHead *> readHead(bool isHeadRequest,
+                                                            OpenEnd openEnd = OpenEnd::Refused);
   /// Reads the next part of the body into the buffer.
   boost::asio::awaitable<BodyPart> readBody(std::span<char> buf);
   /// Whether the response has been read to its end.
--- a/Libraries/LibTelemetry/EventLog.cpp
+++ b/Libraries/LibTelemetry/EventLog.cpp
@@ -37,7 +37,8 @@
 }
 
 void appendValue(std::string &out, std::string_view value) {
-  const bool isPlain = !value.empty() && (value == "0" || value.front() != '0' || value.starts_with("0.")) &&
+  const bool isPlain = !value.empty() &&
+                       (value == "0" || value.front() != '0' || value.starts_with("0.")) &&
                        value.find_first_not_of("0123456789.-") == std::string_view::npos;
   if (isPlain && parseNumber<double>(value))
     out += value;
@@ -80,8 +81,7 @@
 }
 
 bool EventLog::hasRoom(Weight weight) const {
-  const std::size_t limit =
-      weight == Weight::Important ? BufferBytes : BufferBytes - ReservedBytes;
+  const std::size_t limit = weight == Weight::Important ? BufferBytes : BufferBytes - ReservedBytes;
   return Buffer.size() < limit;
 }
 
--- a/Libraries/LibTelemetry/EventLog.h
+++ b/Libraries/LibTelemetry/EventLog.h
@@ -9,8 +9,8 @@
 
 namespace wigeonlift {
 
-/// Writes JSON lines to a descriptor without ever waiting for its reader. Lines that find no room in
-/// the buffer are dropped, and their number is logged as soon as there is room.
+/// Writes JSON lines to a descriptor without ever waiting for its reader. Lines that find no room
+/// in the buffer are dropped, and their number is logged as soon as there is room.
 class EventLog {
 public:
   /// How much a line matters; lines that matter less leave room for those that matter more.
--- a/Services/Ctl/Explain.cpp
+++ b/Services/Ctl/Explain.cpp
@@ -81,9 +81,9 @@
   std::string fields;
   for (const auto &[name, value] : event.Fields)
     if (name != TimeField && name != ProcessField && name != NameField && name != IdField)
-      fields += fmt::format(" {}={}", std::string_view{name},
-                            value.is_string() ? std::string{value.get_string()}
-                                              : json::serialize(value));
+      fields +=
+          fmt::format(" {}={}", std::string_view{name},
+                      value.is_string() ? std::string{value.get_string()} : json::serialize(value));
   fmt::print(out, "{:+10.1f} ms  {}  {}{}\n", (event.Time - since) * 1e3, event.Process, event.Name,
              fields);
 }
@@ -99,7 +99,8 @@
 
 std::string causeOf(const std::vector<const Event *> &story) {
   const Event &last = *story.back();
-  const auto failed = std::ranges::find(story.rbegin(), story.rend(), "attempt_failed", &Event::Name);
+  const auto failed =
+      std::ranges::find(story.rbegin(), story.rend(), "attempt_failed", &Event::Name);
   const std::string lastFailure =
       failed == story.rend() ? ""
                              : fmt::format("; the last attempt, at {}, failed with: {}",
--- a/Services/Gateway/CallerSession.cpp
+++ b/Services/Gateway/CallerSession.cpp
@@ -99,8 +99,7 @@
   const auto plan = Owner.plans().inForce();
   if (!plan)
     co_return co_await reject(Unavailable, "no configuration yet", NoPlanRetry);
-  const Route *route =
-      plan->find(Caller->head()[http::field::host], Caller->head().target());
+  const Route *route = plan->find(Caller->head()[http::field::host], Caller->head().target());
   if (!route)
     co_return co_await reject(NotFound, "no route");
   const Route copy = *route;
@@ -115,14 +114,15 @@
   const std::size_t codings = head.count(http::field::transfer_encoding);
   if (lengths > 1 || codings > 1 || (lengths == 1 && codings == 1))
     return true;
-  return codings == 1 &&
-         !boost::beast::iequals(head[http::field::transfer_encoding], "chunked");
+  return codings == 1 && !boost::beast::iequals(head[http::field::transfer_encoding], "chunked");
 }
 
 RequestSpec CallerSession::specFor(const Route &route) {
   const auto leftMs = parseNumber<long long>(headerValue(Caller->head(), platform::DeadlineHeader));
-  const Duration left = leftMs && *leftMs >= 0 ? std::min<Duration>(std::chrono::milliseconds{*leftMs}, DefaultDeadline)
-                                               : DefaultDeadline;
+  const Duration left =
+      leftMs && *leftMs >= 0
+          ? std::min<Duration>(std::chrono::milliseconds{*leftMs}, DefaultDeadline)
+          : DefaultDeadline;
   const Duration waited = leftMs ? Owner.waitedBefore(route, left) : Duration::zero();
   const TimePoint deadline = ArrivedAt + std::min(left - AnswerWay, route.Timeout.value_or(left));
   const Duration target = route.TargetLatency > Duration::zero() ? route.TargetLatency : left;
@@ -161,7 +161,8 @@
   request->Service = Owner.partFor(route);
   const auto service = Owner.service(request->Service);
   if (!service)
-    co_return co_await refuse(*request, {.Kind = FailureKind::NoUpstream, .RetryAfter = NoPlanRetry});
+    co_return co_await refuse(*request,
+                              {.Kind = FailureKind::NoUpstream, .RetryAfter = NoPlanRetry});
   service->requestArrived(request);
   Caller->watchForClose([service, id = spec.Id] { service->callerLeft(id); });
   RequestOutcome outcome = co_await request->nextOutcome();
@@ -227,8 +228,8 @@
 asio::awaitable<bool> CallerSession::reject(int status, std::string_view why, Duration retryAfter) {
   ++Owner.counts().Rejected;
   const HttpRequestHead &request = Caller->head();
-  Owner.log().didReject(headerValue(request, platform::AttemptIdHeader),
-                        request[http::field::host], request.target(), status,
+  Owner.log().didReject(headerValue(request, platform::AttemptIdHeader), request[http::field::host],
+                        request.target(), status,
                         Owner.plans().inForce() ? Owner.plans().inForce()->plan().Version : 0);
   HttpResponseHead head = ownHead(status);
   if (retryAfter > Duration::zero())
--- a/Services/Gateway/Daemon.cpp
+++ b/Services/Gateway/Daemon.cpp
@@ -39,9 +39,10 @@
                 co_await session.run();
               }),
       Readiness(Context, readinessHandler(Core)),
-      Directory(Context, directoryHandler(Core, [this](std::string_view dataCentre) {
-                  return Peers.callersAddresses(dataCentre);
-                })),
+      Directory(Context, directoryHandler(Core,
+                                          [this](std::string_view dataCentre) {
+                                            return Peers.callersAddresses(dataCentre);
+                                          })),
       Operator(Context, operatorHandler(Core, Peers, Store)), Signals(Context, SIGTERM, SIGHUP) {
   Signals.add(SIGINT);
   SettingsText = readFile(SettingsFile).value_or("");
--- a/Services/Gateway/FleetTask.cpp
+++ b/Services/Gateway/FleetTask.cpp
@@ -66,10 +66,11 @@
 } // namespace
 
 FleetTask::FleetTask(Gateway &gateway, std::uint64_t seed)
-    : Owner(gateway), Members(selfOf(gateway.settings()), seedsOf(gateway.settings()), seed,
-                              bootTimeNow()),
-      Socket(gateway.context()),
-      Server(gateway.context(), [this](HttpRequest request) { return answer(std::move(request)); }) {
+    : Owner(gateway),
+      Members(selfOf(gateway.settings()), seedsOf(gateway.settings()), seed, bootTimeNow()),
+      Socket(gateway.context()), Server(gateway.context(), [this](HttpRequest request) {
+        return answer(std::move(request));
+      }) {
   if (const auto callers = parseEndpoint(gateway.settings().CallersAddress))
     CallersPort = callers->port();
   const auto seeds = seedsOf(gateway.settings());
@@ -78,7 +79,8 @@
 
 absl::Status FleetTask::start() {
   const GatewaySettings &settings = Owner.settings();
-  const auto endpoint = parseEndpoint(fmt::format("{}:{}", settings.Ip, settings.FirstInternalPort));
+  const auto endpoint =
+      parseEndpoint(fmt::format("{}:{}", settings.Ip, settings.FirstInternalPort));
   if (!endpoint)
     return absl::InvalidArgumentError("the address or the internal port is missing");
   if (absl::Status status = Server.start(*endpoint); !status.ok())
@@ -110,8 +112,7 @@
 
 std::vector<std::string> FleetTask::callersAddresses(std::string_view dataCentre) {
   std::vector<std::string> result;
-  for (const VmAddress it :
-       Members.forCaller(dataCentre, MaxCallerAddresses, bootTimeNow()))
+  for (const VmAddress it : Members.forCaller(dataCentre, MaxCallerAddresses, bootTimeNow()))
     result.push_back(toText(it, CallersPort));
   return result;
 }
@@ -210,8 +211,7 @@
 }
 
 void FleetTask::applyFromPeer(const StoreDelta &delta, StoreRevision after, VmAddress from) {
-  apply(delta, after, "peer",
-        Members.isNear(from) ? SpreadReach::FewNear : SpreadReach::Near);
+  apply(delta, after, "peer", Members.isNear(from) ? SpreadReach::FewNear : SpreadReach::Near);
 }
 
 void FleetTask::apply(const StoreDelta &delta, StoreRevision after, std::string_view source,
--- a/Services/Gateway/Main.cpp
+++ b/Services/Gateway/Main.cpp
@@ -11,8 +11,9 @@
 
 #include <unistd.h>
 
-DEFINE_string(node_file, "", "settings file of the platform; by default the one that the "
-                             "environment names");
+DEFINE_string(node_file, "",
+              "settings file of the platform; by default the one that the "
+              "environment names");
 DEFINE_bool(check_settings, false, "judge the settings and exit");
 
 namespace wigeonlift {
--- a/Services/Gateway/Ports.cpp
+++ b/Services/Gateway/Ports.cpp
@@ -44,27 +44,43 @@
     for (const auto &[service, task] : gateway.services())
       text.counter(name, {{"service", service}}, static_cast<double>(value(*task)));
   };
-  each("wigeonlift_attempts_total", [](const ServiceTask &it) { return it.balancer().counts().Attempts; });
-  each("wigeonlift_hedges_total", [](const ServiceTask &it) { return it.balancer().counts().Hedges; });
-  each("wigeonlift_hedge_wins_total", [](const ServiceTask &it) { return it.balancer().counts().HedgeWins; });
-  each("wigeonlift_probes_total", [](const ServiceTask &it) { return it.balancer().counts().Probes; });
-  each("wigeonlift_refusals_total", [](const ServiceTask &it) { return it.balancer().counts().Refusals; });
-  each("wigeonlift_sent_to_slow_total", [](const ServiceTask &it) { return it.balancer().counts().SentToSlow; });
+  each("wigeonlift_attempts_total",
+       [](const ServiceTask &it) { return it.balancer().counts().Attempts; });
+  each("wigeonlift_hedges_total",
+       [](const ServiceTask &it) { return it.balancer().counts().Hedges; });
+  each("wigeonlift_hedge_wins_total",
+       [](const ServiceTask &it) { return it.balancer().counts().HedgeWins; });
+  each("wigeonlift_probes_total",
+       [](const ServiceTask &it) { return it.balancer().counts().Probes; });
+  each("wigeonlift_refusals_total",
+       [](const ServiceTask &it) { return it.balancer().counts().Refusals; });
+  each("wigeonlift_sent_to_slow_total",
+       [](const ServiceTask &it) { return it.balancer().counts().SentToSlow; });
   for (const auto &[service, task] : gateway.services()) {
-    text.gauge("wigeonlift_queued", {{"service", service}}, static_cast<double>(task->balancer().queued()));
-    text.gauge("wigeonlift_running", {{"service", service}}, static_cast<double>(task->balancer().running()));
-    text.gauge("wigeonlift_upstreams", {{"service", service}}, static_cast<double>(task->upstreams()));
+    text.gauge("wigeonlift_queued", {{"service", service}},
+               static_cast<double>(task->balancer().queued()));
+    text.gauge("wigeonlift_running", {{"service", service}},
+               static_cast<double>(task->balancer().running()));
+    text.gauge("wigeonlift_upstreams", {{"service", service}},
+               static_cast<double>(task->upstreams()));
   }
-  text.counter("wigeonlift_store_calls_total", {{"kind", "read"}}, static_cast<double>(store.calls().Reads));
-  text.counter("wigeonlift_store_calls_total", {{"kind", "watch"}}, static_cast<double>(store.calls().Watches));
-  text.counter("wigeonlift_store_call_failures_total", {}, static_cast<double>(store.calls().Failed));
+  text.counter("wigeonlift_store_calls_total", {{"kind", "read"}},
+               static_cast<double>(store.calls().Reads));
+  text.counter("wigeonlift_store_calls_total", {{"kind", "watch"}},
+               static_cast<double>(store.calls().Watches));
+  text.counter("wigeonlift_store_call_failures_total", {},
+               static_cast<double>(store.calls().Failed));
   text.gauge("wigeonlift_store_revision", {}, static_cast<double>(fleet.replica().revision()));
   text.gauge("wigeonlift_plan_version", {},
-             gateway.plans().inForce() ? static_cast<double>(gateway.plans().inForce()->plan().Version) : 0);
-  text.gauge("wigeonlift_members_alive", {}, static_cast<double>(fleet.members().alive(bootTimeNow()).size()));
+             gateway.plans().inForce()
+                 ? static_cast<double>(gateway.plans().inForce()->plan().Version)
+                 : 0);
+  text.gauge("wigeonlift_members_alive", {},
+             static_cast<double>(fleet.members().alive(bootTimeNow()).size()));
   text.counter("wigeonlift_peer_bytes_sent_total", {}, static_cast<double>(fleet.bytesSent()));
   text.counter("wigeonlift_replica_pulls_total", {}, static_cast<double>(fleet.pulls()));
-  text.counter("wigeonlift_log_lines_dropped_total", {}, static_cast<double>(gateway.eventLog().dropped()));
+  text.counter("wigeonlift_log_lines_dropped_total", {},
+               static_cast<double>(gateway.eventLog().dropped()));
   return text.text();
 }
 
@@ -98,8 +114,8 @@
 }
 
 HttpHandler directoryHandler(Gateway &gateway, DirectoryLookup lookup) {
-  return [&gateway, lookup = std::move(lookup)](HttpRequest request)
-             -> asio::awaitable<HttpResponse> {
+  return [&gateway,
+          lookup = std::move(lookup)](HttpRequest request) -> asio::awaitable<HttpResponse> {
     const auto query = platform::decodeDirectoryQuery(request.target());
     if (!query)
       co_return response(http::status::not_found);
@@ -115,7 +131,8 @@
 HttpHandler operatorHandler(Gateway &gateway, FleetTask &fleet, StoreTask &store) {
   return [&](HttpRequest request) -> asio::awaitable<HttpResponse> {
     if (request.target() == "/metrics")
-      co_return response(http::status::ok, metrics(gateway, fleet, store), "text/plain; version=0.0.4");
+      co_return response(http::status::ok, metrics(gateway, fleet, store),
+                         "text/plain; version=0.0.4");
     if (request.target() == "/state")
       co_return response(http::status::ok, stateDump(gateway, fleet));
     co_return response(http::status::not_found);
--- a/Services/Gateway/RequestLog.cpp
+++ b/Services/Gateway/RequestLog.cpp
@@ -17,7 +17,8 @@
 void RequestLog::didSend(const ProxiedRequest &request, std::string_view upstream,
                          const ChoiceFacts &choice) {
   // The first attempt of most requests is told with the answer.
-  const bool isPlain = choice.Attempt == 1 && choice.Slowness <= 1.3 && choice.Occupied < choice.Slots;
+  const bool isPlain =
+      choice.Attempt == 1 && choice.Slowness <= 1.3 && choice.Occupied < choice.Slots;
   if (isPlain)
     return;
   Log.write(EventLog::Weight::Routine, choice.IsHedge ? "hedged" : "sent",
--- a/Services/Gateway/ServiceTask.cpp
+++ b/Services/Gateway/ServiceTask.cpp
@@ -32,12 +32,12 @@
     if (!known || !known->Record.isSameIncarnation(record)) {
       if (known)
         known->Pool->retire();
-      known = std::make_shared<KnownUpstream>(KnownUpstream{
-          .Record = record,
-          .Index = UpstreamIndex{++LastIndex},
-          .WarmUntil = now + record.Warmup,
-          .Pool = std::make_shared<UpstreamPool>(Context.get_executor(), *endpoint,
-                                                 ConnectionLimit)});
+      known = std::make_shared<KnownUpstream>(
+          KnownUpstream{.Record = record,
+                        .Index = UpstreamIndex{++LastIndex},
+                        .WarmUntil = now + record.Warmup,
+                        .Pool = std::make_shared<UpstreamPool>(Context.get_executor(), *endpoint,
+                                                               ConnectionLimit)});
       ByIndex[known->Index] = known;
     }
     known->Record = record;
--- a/Services/Gateway/StoreTask.cpp
+++ b/Services/Gateway/StoreTask.cpp
@@ -33,8 +33,8 @@
 } // namespace
 
 StoreTask::StoreTask(Gateway &gateway, FleetTask &fleet, std::uint64_t seed)
-    : Owner(gateway), Peers(fleet), Client(*parseEndpoint(gateway.settings().StoreAddress)), Rng(seed),
-      Timer(gateway.context()) {}
+    : Owner(gateway), Peers(fleet), Client(*parseEndpoint(gateway.settings().StoreAddress)),
+      Rng(seed), Timer(gateway.context()) {}
 
 void StoreTask::start() { asio::co_spawn(Owner.context(), run(), asio::detached); }
 
--- a/Services/Gateway/UpstreamExchange.cpp
+++ b/Services/Gateway/UpstreamExchange.cpp
@@ -67,9 +67,8 @@
 
 /// Reads answers until one echoes the id of the request. Extra answers to earlier requests on the
 /// connection come first.
-asio::awaitable<const HttpResponseHead *> readOwnHead(UpstreamConnection &connection,
-                                                      const ProxiedRequest &request,
-                                                      bool &sawForeign) {
+asio::awaitable<const HttpResponseHead *>
+readOwnHead(UpstreamConnection &connection, const ProxiedRequest &request, bool &sawForeign) {
   const bool isHead = request.Head.method() == http::verb::head;
   for (int n = 0; n <= MaxForeignAnswers; ++n) {
     const auto *head = co_await connection.readHead(isHead, OpenEnd::Allowed);
@@ -204,8 +203,7 @@
 
 asio::awaitable<void> exchangeProbe(std::shared_ptr<ServiceTask> service,
                                     std::shared_ptr<const KnownUpstream> upstream, ProbeId probe) {
-  const auto wait =
-      std::make_shared<PoolWait>(co_await asio::this_coro::executor);
+  const auto wait = std::make_shared<PoolWait>(co_await asio::this_coro::executor);
   auto lease = co_await upstream->Pool->acquire(ConnectionNeed::Any, wait);
   if (!lease)
     co_return service->probeFailed(probe);
--- a/Tests/LibBalance/Harness.h
+++ b/Tests/LibBalance/Harness.h
@@ -13,8 +13,8 @@
 inline constexpr TimePoint Start{std::chrono::seconds{1000}};
 inline constexpr Duration Work = std::chrono::milliseconds{120};
 
-/// Drives a balancer in virtual time against upstreams whose load the test sets. Probes are answered
-/// at once unless an upstream is silent.
+/// Drives a balancer in virtual time against upstreams whose load the test sets. Probes are
+/// answered at once unless an upstream is silent.
 class Harness {
 public:
   explicit Harness(int upstreams, int near = 0) : Balancer(7, Start - std::chrono::minutes{1}) {
@@ -55,8 +55,8 @@
 
   void answer(const SendRequest &sent, AnswerKind kind) {
     BalanceCommands out;
-    LastUse = Balancer.didAnswer(sent.Attempt, {.Kind = kind, .Load = Loads[sent.Upstream]}, Now,
-                                 out);
+    LastUse =
+        Balancer.didAnswer(sent.Attempt, {.Kind = kind, .Load = Loads[sent.Upstream]}, Now, out);
     handle(out);
   }
 
--- a/Tests/LibBalance/TestAttempts.cpp
+++ b/Tests/LibBalance/TestAttempts.cpp
@@ -114,7 +114,8 @@
   EXPECT_EQ(it.Refused[id].Executed, Execution::Unknown);
 }
 
-// Guards against a request that is written to an upstream that has left while its connection opened.
+// Guards against a request that is written to an upstream that has left while its connection
+// opened.
 TEST(Attempts, AnUpstreamThatHasLeftGetsNothing) {
   Harness it{2};
   BalanceCommands out;
@@ -140,8 +141,8 @@
   EXPECT_NE(it.Sent[0].Upstream, chosen[0].Upstream);
 }
 
-// Pattern: an upstream fails requests while its health answers are good. Guards against further work
-// for it before it has recovered.
+// Pattern: an upstream fails requests while its health answers are good. Guards against further
+// work for it before it has recovered.
 TEST(Attempts, FailingUpstreamsAreLeftAloneForAWhile) {
   Harness it{5};
   it.teach();
--- a/Tests/LibDiscovery/TestUpstreamList.cpp
+++ b/Tests/LibDiscovery/TestUpstreamList.cpp
@@ -46,8 +46,8 @@
   EXPECT_EQ(list.usable("rankview")[0].Id, "x");
 }
 
-// Guards against new work, past the drain timeout of 2 s, for an upstream that has left while one VM
-// did not reach the store: kapokki scale-2, 2,031 to 2,287 ms after the acknowledgement.
+// Guards against new work, past the drain timeout of 2 s, for an upstream that has left while one
+// VM did not reach the store: kapokki scale-2, 2,031 to 2,287 ms after the acknowledgement.
 TEST(UpstreamList, DoubtfulRemovalsEndWithinTheDrainTimeout) {
   UpstreamList list;
   list.didWrite(record("x"), Start);
--- a/Tests/Platform/TestPlatform.cpp
+++ b/Tests/Platform/TestPlatform.cpp
@@ -143,12 +143,12 @@
   EXPECT_EQ(settings->Bounds.RepeatExtra, 56);
   EXPECT_EQ(settings->Bounds.StopGrace, 6s);
   EXPECT_TRUE(settings->ReadinessAddress.empty());
-  for (const auto &[from, to] : std::vector<std::pair<std::string, std::string>>{
-           {"vm-1", ""},
-           {"10.200.1.7:8541", "somewhere"},
-           {"10.1.0.34:8548", "10.1.0.34"},
-           {"budget-window=10s", "budget-window=ten"},
-           {"[limits]", "[limits"}}) {
+  for (const auto &[from, to] :
+       std::vector<std::pair<std::string, std::string>>{{"vm-1", ""},
+                                                        {"10.200.1.7:8541", "somewhere"},
+                                                        {"10.1.0.34:8548", "10.1.0.34"},
+                                                        {"budget-window=10s", "budget-window=ten"},
+                                                        {"[limits]", "[limits"}}) {
     std::string bad = good;
     bad.replace(bad.find(from), from.size(), to);
     EXPECT_FALSE(platform::decodeNodeFile(bad).ok()) << to;
