--- a/Libraries/LibBalance/Placement.cpp
+++ b/Libraries/LibBalance/Placement.cpp
@@ -69,12 +69,14 @@
     auto operator<=>(const Place &) const = default;
   };
   std::vector<Place> places;
+  places.reserve(Queue.size());
   for (const CallId id : Queue) {
     const Request &it = Requests.at(id);
     places.push_back({isLate(it, now), it.Spec.Priority, it.Spec.ArrivedAt, id});
   }
   std::ranges::sort(places);
   std::vector<CallId> order;
+  order.reserve(places.size());
   for (const Place &it : places)
     order.push_back(it.Id);
   return order;
@@ -226,7 +228,7 @@
 }
 
 int ServiceBalancer::askSome(const Request &request, TimePoint now, BalanceCommands &out) {
-  constexpr double Spread = 0.6;
+  constexpr double spread = 0.6;
   struct Choice {
     double Cost;
     UpstreamView *View;
@@ -236,7 +238,7 @@
     if (view.Probe || view.isFresh(now) || !mayUse(view, request, now))
       continue;
     // VMs that know the same must not all ask, and then choose, the same upstreams.
-    const double jitter = 1 - Spread / 2 + Spread * Rng.unit();
+    const double jitter = 1 - spread / 2 + spread * Rng.unit();
     const bool isWarm = view.hasReport() && view.reportAge(now) < WarmSpan;
     const double detour =
         ((view.facts().IsNear ? 0 : FarAskFactor) + (isWarm ? 0 : ColdAskFactor)) *
--- a/Libraries/LibFleet/Fleet.cpp
+++ b/Libraries/LibFleet/Fleet.cpp
@@ -135,6 +135,7 @@
   }
   const FleetMessage out{.Sender = Self, .Delta = delta, .DeltaAfter = after};
   std::vector<FleetSend> sends;
+  sends.reserve(receivers.size());
   for (const VmAddress it : receivers)
     sends.push_back({.To = it, .Message = out});
   return sends;
@@ -223,9 +224,9 @@
   for (const FleetVm &it : alive(now))
     if (it.IsReady && !it.IsStopping)
       (it.DataCentre == dataCentre ? near : far).push_back(it);
-  constexpr std::size_t FewNear = 2;
+  constexpr std::size_t fewNear = 2;
   std::vector<FleetVm> chosen = near;
-  if (near.size() < FewNear)
+  if (near.size() < fewNear)
     chosen.insert(chosen.end(), far.begin(), far.end());
   std::uint32_t largest = 1;
   for (const FleetVm &it : chosen)
@@ -236,7 +237,7 @@
     if (Rng.unit() * largest < it.Weight)
       result.push_back(it.Ip);
   for (const FleetVm &it : chosen)
-    if (result.size() < FewNear && std::ranges::find(result, it.Ip) == result.end())
+    if (result.size() < fewNear && std::ranges::find(result, it.Ip) == result.end())
       result.push_back(it.Ip);
   std::ranges::shuffle(result, Rng.engine());
   result.resize(std::min(result.size(), most));
@@ -309,8 +310,8 @@
 
 std::optional<VmAddress> parseVmAddress(std::string_view text) {
   const auto parts = split(text.substr(0, text.find(':')), '.');
-  constexpr std::size_t Octets = 4;
-  if (parts.size() != Octets)
+  constexpr std::size_t octets = 4;
+  if (parts.size() != octets)
     return std::nullopt;
   VmAddress address = 0;
   for (const std::string_view it : parts) {
--- /dev/null
+++ b/Meta/soak.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Builds the gateway and runs the fault soak with the seeds that are named, each for 20 s.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+Meta/install.sh
+Meta/build.sh wigeonlift-gateway
+cd Meta
+for seed in "${@:-1}"; do
+  python3 -m soak --seed "$seed" --seconds 20
+done
--- a/Services/Ctl/Explain.cpp
+++ b/Services/Ctl/Explain.cpp
@@ -18,6 +18,12 @@
 
 namespace json = boost::json;
 
+std::string toText(const json::value &value) {
+  if (value.is_string())
+    return std::string{value.get_string()};
+  return value.is_double() ? fmt::format("{:.10g}", value.get_double()) : json::serialize(value);
+}
+
 /// One line of a log.
 struct Event {
   double Time = 0;
@@ -27,9 +33,7 @@
 
   std::string text(std::string_view field) const {
     const auto *value = Fields.if_contains(field);
-    if (!value)
-      return "";
-    return value->is_string() ? std::string{value->get_string()} : json::serialize(*value);
+    return value ? toText(*value) : "";
   }
 };
 
@@ -81,9 +85,7 @@
   std::string fields;
   for (const auto &[name, value] : event.Fields)
     if (name != TimeField && name != ProcessField && name != NameField && name != IdField)
-      fields +=
-          fmt::format(" {}={}", std::string_view{name},
-                      value.is_string() ? std::string{value.get_string()} : json::serialize(value));
+      fields += fmt::format(" {}={}", std::string_view{name}, toText(value));
   fmt::print(out, "{:+10.1f} ms  {}  {}{}\n", (event.Time - since) * 1e3, event.Process, event.Name,
              fields);
 }
