LibBalance: Ask at most a quarter of the upstreams in a round

Cause (a test that failed): on a service of 14 upstreams a round of 12 asked nearly all, so that 20 waiting requests sent more than 60 probes in 160 ms. Also: what the linter finds.

--- a/Libraries/LibBalance/Placement.cpp
+++ b/Libraries/LibBalance/Placement.cpp
@@ -10,6 +10,7 @@
 constexpr int ProbesPerRound = 3;
 // A long queue needs several upstreams from one round.
 constexpr int MaxProbesPerRound = 12;
+constexpr int UpstreamsPerProbe = 4;
 // Rounds of probes after which a request takes an upstream that isn't idle and fast.
 constexpr int RoundsForGood = 2;
 // Rounds that find nothing are followed by longer and longer pauses.
@@ -248,7 +249,10 @@
          &view});
   }
   std::ranges::sort(choices, {}, &Choice::Cost);
-  const int wanted = std::clamp(TimelyQueued, ProbesPerRound, MaxProbesPerRound);
+  // The reports of a small service are all known after a few rounds.
+  const int most = std::clamp(static_cast<int>(Upstreams.size()) / UpstreamsPerProbe,
+                              ProbesPerRound, MaxProbesPerRound);
+  const int wanted = std::clamp(TimelyQueued, ProbesPerRound, most);
   int asked = 0;
   for (const Choice &it : choices) {
     if (asked >= wanted || !ask(*it.View, now, out))
--- a/Services/Gateway/RequestLog.cpp
+++ b/Services/Gateway/RequestLog.cpp
@@ -78,11 +78,11 @@
 
 void RequestLog::didReject(std::string_view id, std::string_view host, std::string_view target,
                            int status, std::uint64_t planVersion) {
-  constexpr std::size_t MaxLoggedBytes = 80;
+  constexpr std::size_t maxLoggedBytes = 80;
   Log.write(EventLog::Weight::Important, "rejected",
-            {{"id", std::string{id.substr(0, MaxLoggedBytes)}},
-             {"host", std::string{host.substr(0, MaxLoggedBytes)}},
-             {"path", std::string{target.substr(0, MaxLoggedBytes)}},
+            {{"id", std::string{id.substr(0, maxLoggedBytes)}},
+             {"host", std::string{host.substr(0, maxLoggedBytes)}},
+             {"path", std::string{target.substr(0, maxLoggedBytes)}},
              {"status", fmt::format("{}", status)},
              {"plan", fmt::format("{}", planVersion)}});
 }
--- a/Services/Gateway/ServiceTask.cpp
+++ b/Services/Gateway/ServiceTask.cpp
@@ -58,7 +58,7 @@
   });
   BalanceCommands out;
   Balancer.setUpstreams(facts, now, out);
-  execute(std::move(out));
+  execute(out);
 }
 
 void ServiceTask::setPlan(const std::string &healthPath, int maxConnections) {
@@ -81,13 +81,13 @@
   Requests[spec.Id] = std::move(request);
   BalanceCommands out;
   Balancer.requestArrived(spec, bootTimeNow(), out);
-  execute(std::move(out));
+  execute(out);
 }
 
 void ServiceTask::callerLeft(CallId id) {
   BalanceCommands out;
   Balancer.callerLeft(id, bootTimeNow(), out);
-  execute(std::move(out));
+  execute(out);
   if (const auto it = Requests.find(id); it != Requests.end()) {
     Log.didLeave(*it->second, bootTimeNow());
     it->second->deliver(CallerGone{});
@@ -111,7 +111,7 @@
     attempt.Request->LastSentAt = bootTimeNow();
     Log.didSend(*attempt.Request, attempt.Upstream->Record.Id, *choice);
   }
-  execute(std::move(out));
+  execute(out);
   return may;
 }
 
@@ -121,7 +121,7 @@
   const AnswerUse use = Balancer.didAnswer(attempt.Id, facts, bootTimeNow(), out);
   if (use == AnswerUse::Relay)
     Requests.erase(attempt.Request->Spec.Id);
-  execute(std::move(out));
+  execute(out);
   return use;
 }
 
@@ -133,19 +133,19 @@
   Log.didFail(*attempt.Request, attempt.Upstream->Record.Id, what, now);
   BalanceCommands out;
   Balancer.attemptFailed(attempt.Id, stage, now, out);
-  execute(std::move(out));
+  execute(out);
 }
 
 void ServiceTask::probeAnswered(ProbeId id, const LoadReport &report) {
   BalanceCommands out;
   Balancer.probeAnswered(id, report, bootTimeNow(), out);
-  execute(std::move(out));
+  execute(out);
 }
 
 void ServiceTask::probeFailed(ProbeId id) {
   BalanceCommands out;
   Balancer.probeFailed(id, bootTimeNow(), out);
-  execute(std::move(out));
+  execute(out);
 }
 
 PoolCounts ServiceTask::connections() const {
@@ -155,7 +155,7 @@
   return counts;
 }
 
-void ServiceTask::execute(BalanceCommands commands) {
+void ServiceTask::execute(const BalanceCommands &commands) {
   for (const BalanceCommand &command : commands)
     std::visit([this](const auto &it) { run(it); }, command);
   armTimer();
@@ -214,7 +214,7 @@
     self->ArmedFor = TimePoint::max();
     BalanceCommands out;
     self->Balancer.tick(bootTimeNow(), out);
-    self->execute(std::move(out));
+    self->execute(out);
   });
 }
 
--- a/Services/Gateway/ServiceTask.h
+++ b/Services/Gateway/ServiceTask.h
@@ -69,7 +69,7 @@
   PoolCounts connections() const;
 
 private:
-  void execute(BalanceCommands commands);
+  void execute(const BalanceCommands &commands);
   void run(const SendRequest &command);
   void run(const AbandonAttempt &command);
   void run(const AskLoad &command);
