--- a/Libraries/LibDiscovery/UpstreamList.cpp
+++ b/Libraries/LibDiscovery/UpstreamList.cpp
@@ -10,7 +10,7 @@
 // Upstreams that live register again within about 2 s of the store's return.
 constexpr Duration LapseGrace = std::chrono::milliseconds{2200};
 // Short enough that an upstream that has left gets no new work after the drain timeout.
-constexpr Duration DoubtGrace = std::chrono::milliseconds{600};
+constexpr Duration DoubtGrace = std::chrono::milliseconds{400};
 
 } // namespace
 
--- a/Services/Gateway/StoreTask.cpp
+++ b/Services/Gateway/StoreTask.cpp
@@ -20,7 +20,7 @@
 constexpr Duration WatchWait = std::chrono::milliseconds{3000};
 constexpr Duration WatchTimeout = std::chrono::milliseconds{3800};
 // Changes that come in series are fetched with one call.
-constexpr Duration FoldSpan = std::chrono::milliseconds{800};
+constexpr Duration FoldSpan = std::chrono::milliseconds{500};
 // How often a VM that depends on another one's watch looks whether it still may.
 constexpr Duration FollowInterval = std::chrono::milliseconds{300};
 // Entries that lapsed while the store was away return within this time.
