--- a/Libraries/LibBalance/Attempts.cpp
+++ b/Libraries/LibBalance/Attempts.cpp
@@ -23,8 +23,8 @@
 // Work that is left at least, as a share of the usual work, while no answer has come.
 constexpr double LeastWorkLeft = 0.15;
 
-// Callers that come back sooner than this find the same queue.
 constexpr Duration ShedRetryAfter = std::chrono::milliseconds{10};
+// Callers that come back sooner than this find the same queue.
 constexpr Duration MinRetryAfter = std::chrono::milliseconds{100};
 constexpr Duration MaxRetryAfter = std::chrono::milliseconds{2000};
 constexpr double RetryAfterShareOfTime = 0.3;
--- a/Libraries/LibBalance/BalanceTypes.h
+++ b/Libraries/LibBalance/BalanceTypes.h
@@ -35,8 +35,6 @@
   /// 0 is the most urgent.
   int Priority = 0;
   int MaxAttempts = 1;
-  /// The caller was refused before and asks again.
-  bool IsReturning = false;
 };
 
 /// Asks the shell to send a request to an upstream.
--- a/Libraries/LibBalance/Placement.cpp
+++ b/Libraries/LibBalance/Placement.cpp
@@ -110,7 +110,7 @@
     return true;
   }
   const auto found = best(request, now);
-  if (found && isGood(*found, request, now)) {
+  if (found && isGood(*found, request)) {
     start(request, *found, now, out);
     return true;
   }
@@ -178,7 +178,7 @@
   return {.View = &view, .Expected = fromSeconds(expected), .Cost = cost};
 }
 
-bool ServiceBalancer::isGood(const Candidate &candidate, const Request &request, TimePoint) const {
+bool ServiceBalancer::isGood(const Candidate &candidate, const Request &request) const {
   return candidate.View->occupied() < candidate.View->easySlots() &&
          toSeconds(candidate.Cost) <= GoodFactor * toSeconds(work(request)) + toSeconds(FarCost);
 }
@@ -276,15 +276,16 @@
   return true;
 }
 
+bool ServiceBalancer::hasProbesUnderWay() const {
+  return std::ranges::any_of(Upstreams, [](const auto &it) { return it.second.Probe.has_value(); });
+}
+
 bool ServiceBalancer::awaitsProbes(TimePoint now) const {
-  return now < RoundAt + ProbePatience &&
-         std::ranges::any_of(Upstreams, [](const auto &it) { return it.second.Probe.has_value(); });
+  return now < RoundAt + ProbePatience && hasProbesUnderWay();
 }
 
 TimePoint ServiceBalancer::nextRound() const {
-  const bool isAsking =
-      std::ranges::any_of(Upstreams, [](const auto &it) { return it.second.Probe.has_value(); });
-  return isAsking ? std::max(NextRoundAt, RoundAt + ProbePatience) : NextRoundAt;
+  return hasProbesUnderWay() ? std::max(NextRoundAt, RoundAt + ProbePatience) : NextRoundAt;
 }
 
 } // namespace wigeonlift
--- a/Libraries/LibBalance/ServiceBalancer.h
+++ b/Libraries/LibBalance/ServiceBalancer.h
@@ -129,7 +129,7 @@
   std::optional<Candidate> best(const Request &request, TimePoint now);
   Candidate judge(UpstreamView &view, const Request &request, TimePoint now) const;
   bool mayUse(const UpstreamView &view, const Request &request, TimePoint now) const;
-  bool isGood(const Candidate &candidate, const Request &request, TimePoint now) const;
+  bool isGood(const Candidate &candidate, const Request &request) const;
   bool isAcceptable(const Candidate &candidate, const Request &request, TimePoint now) const;
   void start(Request &request, const Candidate &candidate, TimePoint now, BalanceCommands &out);
   Duration work(const Request &request) const;
@@ -139,6 +139,7 @@
   // Probes.
   int askSome(const Request &request, TimePoint now, BalanceCommands &out);
   bool ask(UpstreamView &view, TimePoint now, BalanceCommands &out);
+  bool hasProbesUnderWay() const;
   bool awaitsProbes(TimePoint now) const;
   /// When a request that waits may start another round, if nothing else happens.
   TimePoint nextRound() const;
--- a/Services/Gateway/CallerSession.cpp
+++ b/Services/Gateway/CallerSession.cpp
@@ -139,8 +139,7 @@
           .Objective = ArrivedAt + target - RequestWay - AnswerWay - waited,
           .Deadline = Owner.stopPlan().deadline(deadline),
           .Priority = route.Priority,
-          .MaxAttempts = route.MaxAttempts,
-          .IsReturning = waited > RequestWay};
+          .MaxAttempts = route.MaxAttempts};
 }
 
 asio::awaitable<bool> CallerSession::serveRouted(const Route &route, std::string callerAttempt) {
@@ -182,22 +181,22 @@
   ++Owner.counts().Relayed;
   Owner.counts().Latency.record(bootTimeNow() - ArrivedAt);
   if (auto *whole = std::get_if<WholeAnswer>(&outcome))
-    co_return co_await relay(*request, std::move(*whole));
-  co_return co_await relay(*request, std::move(std::get<OpenAnswer>(outcome)));
+    co_return co_await relay(std::move(*whole));
+  co_return co_await relay(std::move(std::get<OpenAnswer>(outcome)));
 }
 
-asio::awaitable<bool> CallerSession::relay(ProxiedRequest &, WholeAnswer whole) {
-  if (MustClose || Owner.isStopping())
+asio::awaitable<bool> CallerSession::relay(WholeAnswer whole) {
+  if (closesAfterAnswer())
     whole.Head.set(http::field::connection, "close");
   const bool isWritten = co_await Caller->write(std::move(whole.Head), whole.Body);
-  co_return isWritten && !MustClose && !Owner.isStopping();
+  co_return isWritten && !closesAfterAnswer();
 }
 
-asio::awaitable<bool> CallerSession::relay(ProxiedRequest &, OpenAnswer open) {
+asio::awaitable<bool> CallerSession::relay(OpenAnswer open) {
   const bool isChunked = open.Head.find(http::field::content_length) == open.Head.end();
   if (isChunked)
     open.Head.set(http::field::transfer_encoding, "chunked");
-  if (MustClose || Owner.isStopping())
+  if (closesAfterAnswer())
     open.Head.set(http::field::connection, "close");
   bool isWritten = co_await Caller->writeHead(std::move(open.Head)) &&
                    co_await Caller->writePart(open.Begun, isChunked);
@@ -217,7 +216,7 @@
     isWritten = co_await Caller->writeLastChunk();
   if (isWritten)
     open.Connection->giveBack();
-  co_return isWritten && !MustClose && !Owner.isStopping();
+  co_return isWritten && !closesAfterAnswer();
 }
 
 asio::awaitable<bool> CallerSession::refuse(const ProxiedRequest &request, const Failure &failure) {
@@ -251,8 +250,10 @@
   co_return co_await answer(std::move(head), fmt::format("{{\"error\":\"{}\"}}", why));
 }
 
+bool CallerSession::closesAfterAnswer() const { return MustClose || Owner.isStopping(); }
+
 asio::awaitable<bool> CallerSession::answer(HttpResponseHead head, std::string_view body) {
-  const bool mustClose = MustClose || Owner.isStopping();
+  const bool mustClose = closesAfterAnswer();
   if (mustClose)
     head.set(http::field::connection, "close");
   const bool isWritten = co_await Caller->write(std::move(head), body);
--- a/Services/Gateway/CallerSession.h
+++ b/Services/Gateway/CallerSession.h
@@ -19,12 +19,13 @@
   /// Whether the connection may carry another request.
   boost::asio::awaitable<bool> serveRequest();
   boost::asio::awaitable<bool> serveRouted(const Route &route, std::string callerAttempt);
-  boost::asio::awaitable<bool> relay(ProxiedRequest &request, WholeAnswer answer);
-  boost::asio::awaitable<bool> relay(ProxiedRequest &request, OpenAnswer answer);
+  boost::asio::awaitable<bool> relay(WholeAnswer answer);
+  boost::asio::awaitable<bool> relay(OpenAnswer answer);
   boost::asio::awaitable<bool> refuse(const ProxiedRequest &request, const Failure &failure);
   /// Answers a request that is not passed on.
   boost::asio::awaitable<bool> reject(int status, std::string_view why, Duration retryAfter = {});
   boost::asio::awaitable<bool> answer(HttpResponseHead head, std::string_view body);
+  bool closesAfterAnswer() const;
   bool isAmbiguous() const;
   RequestSpec specFor(const Route &route);
   void applyLimits();
