Tests: Test the gateway's data path against scripted upstreams

The tests run callers, the gateway and upstreams on one thread over loopback.

FakeUpstream and RawCaller move to Tests/Support, which both daemons' tests use.

--- a/Tests/Entry/EntryFixture.cpp
+++ b/Tests/Entry/EntryFixture.cpp
@@ -117,4 +117,10 @@
                      method, target, fields, body.size(), body);
 }
 
+std::string okResponse(const std::string &body, const std::string &fields) {
+  return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n"
+                     "Wigeonlift-Load: in_flight=0;queued=0;slots=3;state=ready\r\n{}\r\n{}",
+                     body.size(), fields, body);
+}
+
 } // namespace wigeonlift
--- a/Tests/Entry/EntryFixture.h
+++ b/Tests/Entry/EntryFixture.h
@@ -1,9 +1,8 @@
 #pragma once
 
-#include "FakeUpstream.h"
-#include "RawCaller.h"
-
 #include <Services/Entry/DataPath.h>
+#include <Tests/Support/FakeUpstream.h>
+#include <Tests/Support/RawCaller.h>
 
 #include <gtest/gtest.h>
 
@@ -49,4 +48,7 @@
 std::string requestText(const std::string &method, const std::string &target,
                         const std::string &fields = "", const std::string &body = "");
 
+/// A whole response with a load report.
+std::string okResponse(const std::string &body, const std::string &fields = "");
+
 } // namespace wigeonlift
--- /dev/null
+++ b/Tests/Gateway/GatewayFixture.cpp
@@ -0,0 +1,144 @@
+#include "GatewayFixture.h"
+
+#include <platform/Platform.h>
+
+#include <fmt/format.h>
+
+#include <fcntl.h>
+
+#include <algorithm>
+
+namespace wigeonlift {
+
+namespace {
+
+constexpr std::string_view HealthRequest = "GET /hc ";
+constexpr auto TestTimeout = std::chrono::seconds{10};
+constexpr std::uint64_t Seed = 7;
+
+constexpr const char *Configuration =
+    R"({"version":3,"routes":[{"name":"look","host":"h.example","prefix":"/look/","route-kind":"safe",)"
+    R"("timeout":"1500ms","target-latency":"600ms","priority":2,"max-attempts":2,"service":"s"},)"
+    R"({"name":"record","host":"h.example","prefix":"/record/","route-kind":"unsafe","timeout":"1500ms",)"
+    R"("target-latency":"600ms","priority":1,"max-attempts":2,"service":"s"},)"
+    R"({"name":"bulk","host":"h.example","prefix":"/bulk/","route-kind":"download","timeout":"1500ms",)"
+    R"("target-latency":"600ms","priority":2,"max-attempts":2,"service":"s"}],"services":[{"name":"s",)"
+    R"("health-check-path":"/hc","max-connections":200}],"limits":{"max-header-bytes":16384,)"
+    R"("max-body-bytes":1000000,"header-timeout":"3s","idle-timeout":"15s"}})";
+
+GatewaySettings testSettings() {
+  GatewaySettings settings;
+  settings.Name = "gateway-1";
+  settings.DataCentre = "a";
+  // Neither repeats nor probes are what these tests run out of.
+  settings.Bounds.RepeatRatio = 100;
+  settings.Bounds.ProbesPerUpstreamSecond = 100'000;
+  return settings;
+}
+
+std::string fieldOf(const std::string &request, std::string_view name) {
+  const std::string key = fmt::format("\r\n{}: ", name);
+  const std::size_t n = request.find(key);
+  if (n == std::string::npos)
+    return "";
+  const std::size_t begin = n + key.size();
+  return request.substr(begin, request.find("\r\n", begin) - begin);
+}
+
+} // namespace
+
+PlatformUpstream::PlatformUpstream(boost::asio::io_context &context, std::string id, Script script)
+    : Id(std::move(id)), Answer(std::move(script)),
+      Server(context, [this](const std::string &request) { return answer(request); }) {}
+
+FakeReply PlatformUpstream::answer(const std::string &request) {
+  if (request.starts_with(HealthRequest))
+    return {fmt::format("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n{}: {}\r\n{}: 0,0,3,100\r\n\r\n",
+                        platform::UpstreamIdHeader, Id, platform::LoadHeader)};
+  return Answer(fieldOf(request, platform::AttemptIdHeader));
+}
+
+std::vector<std::string> PlatformUpstream::requests() const {
+  std::vector<std::string> result;
+  std::ranges::copy_if(Server.Requests, std::back_inserter(result),
+                       [](const std::string &it) { return !it.starts_with(HealthRequest); });
+  return result;
+}
+
+GatewayFixture::GatewayFixture()
+    : Log(::open("/dev/null", O_WRONLY | O_CLOEXEC), "gateway-1"),
+      Core(Context, testSettings(), Log, Seed),
+      Callers(Context,
+              [this](std::shared_ptr<CallerConnection> caller) -> boost::asio::awaitable<void> {
+                CallerSession session{Core, std::move(caller)};
+                co_await session.run();
+              }) {
+  EXPECT_TRUE(Callers.start({boost::asio::ip::address_v4::loopback(), 0}).ok());
+}
+
+void GatewayFixture::configure(const std::vector<const PlatformUpstream *> &upstreams) {
+  std::vector<StoreItem> items{
+      {.Key = std::string{platform::ConfigurationKey}, .Value = Configuration, .Revision = 1}};
+  for (const PlatformUpstream *it : upstreams)
+    items.push_back(
+        {.Key = "servers/" + it->id(),
+         .Value = fmt::format(
+             R"({{"service":"s","address":"{}","zone":"a","version":"v1","capacity-slots":3,)"
+             R"("state":"ready","warmup-remaining":"0ms","sequence":1,"born":1}})",
+             it->address()),
+         .Revision = items.size() + 1});
+  Core.didLearn(items, "test", Removal::Final);
+}
+
+std::shared_ptr<RawCaller> GatewayFixture::connect() {
+  auto caller = std::make_shared<RawCaller>(Context, Callers.port());
+  caller->receiveAll();
+  return caller;
+}
+
+std::shared_ptr<RawCaller> GatewayFixture::ask(const std::string &request) {
+  auto caller = connect();
+  caller->send(request);
+  runUntil([&] { return caller->hasAnswer() || caller->IsClosed; });
+  return caller;
+}
+
+void GatewayFixture::runUntil(const std::function<bool()> &condition) {
+  const auto end = std::chrono::steady_clock::now() + TestTimeout;
+  while (!condition()) {
+    ASSERT_LT(std::chrono::steady_clock::now(), end) << "the condition was not met in time";
+    Context.run_one_until(end);
+  }
+}
+
+std::string callerRequest(const std::string &method, const std::string &target,
+                          const std::string &attemptId, const std::string &body,
+                          const std::string &fields) {
+  const std::string length =
+      method == "GET" ? "" : fmt::format("Content-Length: {}\r\n", body.size());
+  return fmt::format("{} {} HTTP/1.1\r\nHost: h.example\r\n{}: {}\r\n{}: 2000\r\n{}{}\r\n{}",
+                     method, target, platform::AttemptIdHeader, attemptId, platform::DeadlineHeader,
+                     length, fields, body);
+}
+
+std::string sealedAnswer(const std::string &attemptId, const std::string &body, int status) {
+  return fmt::format("HTTP/1.1 {} X\r\nContent-Length: {}\r\n{}: {}\r\n{}: seal-{}\r\n"
+                     "{}: 1,0,3,100\r\n\r\n{}",
+                     status, body.size(), platform::AttemptIdHeader, attemptId,
+                     platform::SealHeader, attemptId, platform::LoadHeader, body);
+}
+
+std::string notExecutedAnswer(const std::string &attemptId) {
+  return fmt::format("HTTP/1.1 503 X\r\nContent-Length: 0\r\n{}: {}\r\n{}: full\r\n\r\n",
+                     platform::AttemptIdHeader, attemptId, platform::NotRunHeader);
+}
+
+int statusOf(const RawCaller &caller) {
+  constexpr std::size_t statusAt = 9;
+  constexpr std::size_t digits = 3;
+  if (caller.Received.size() < statusAt + digits)
+    return 0;
+  return parseNumber<int>(std::string_view{caller.Received}.substr(statusAt, digits)).value_or(0);
+}
+
+} // namespace wigeonlift
--- /dev/null
+++ b/Tests/Gateway/GatewayFixture.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <Services/Gateway/CallerSession.h>
+#include <Services/Gateway/Gateway.h>
+#include <Tests/Support/FakeUpstream.h>
+#include <Tests/Support/RawCaller.h>
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace wigeonlift {
+
+/// An upstream as the platform describes it: answers health checks as idle, and other requests by
+/// a script of the test.
+class PlatformUpstream {
+public:
+  using Script = std::function<FakeReply(const std::string &attemptId)>;
+
+  PlatformUpstream(boost::asio::io_context &context, std::string id, Script script);
+
+  const std::string &id() const { return Id; }
+  std::string address() const { return Server.address(); }
+  /// Requests other than health checks, as they arrived.
+  std::vector<std::string> requests() const;
+  int closedConnections() const { return Server.Closed; }
+
+private:
+  FakeReply answer(const std::string &request);
+
+  std::string Id;
+  Script Answer;
+  FakeUpstream Server;
+};
+
+/// The data path of one gateway, with callers and upstreams on loopback. Everything runs on one
+/// thread.
+class GatewayFixture : public testing::Test {
+protected:
+  GatewayFixture();
+
+  /// Puts a configuration with the routes `/look/` (safe), `/record/` (unsafe) and `/bulk/`
+  /// (download) of `h.example` in force, and the upstreams that serve all of them.
+  void configure(const std::vector<const PlatformUpstream *> &upstreams);
+  std::shared_ptr<RawCaller> connect();
+  /// Sends bytes on a connection of its own and waits for the whole answer or the end.
+  std::shared_ptr<RawCaller> ask(const std::string &request);
+  /// Runs until the condition holds; fails after some seconds.
+  void runUntil(const std::function<bool()> &condition);
+
+  boost::asio::io_context Context{1};
+  EventLog Log;
+  Gateway Core;
+  CallerServer Callers;
+};
+
+/// A request with an attempt id, a deadline of 2 s and a body if there is one.
+std::string callerRequest(const std::string &method, const std::string &target,
+                          const std::string &attemptId, const std::string &body = "",
+                          const std::string &fields = "");
+/// The sealed answer of an upstream to an attempt.
+std::string sealedAnswer(const std::string &attemptId, const std::string &body, int status = 200);
+/// An upstream's statement that it did not run the request.
+std::string notExecutedAnswer(const std::string &attemptId);
+/// The status of an answer; 0 when there is none.
+int statusOf(const RawCaller &caller);
+
+} // namespace wigeonlift
--- /dev/null
+++ b/Tests/Gateway/TestDataPath.cpp
@@ -0,0 +1,189 @@
+#include "GatewayFixture.h"
+
+#include <platform/Platform.h>
+
+#include <fmt/format.h>
+
+namespace wigeonlift {
+
+namespace {
+
+FakeReply success(const std::string &attemptId) { return {sealedAnswer(attemptId, "done")}; }
+FakeReply rejection(const std::string &attemptId) { return {notExecutedAnswer(attemptId)}; }
+FakeReply brokenConnection(const std::string &) { return {.Bytes = "", .Closes = true}; }
+
+} // namespace
+
+// Guards against a request that reaches an upstream without the time that is left or the upstream's
+// identity, or with another path or body, and against an answer that reaches the caller changed.
+TEST_F(GatewayFixture, PassesRequestsAndAnswersOn) {
+  PlatformUpstream upstream{Context, "i-1", success};
+  configure({&upstream});
+  const auto caller = ask(callerRequest("POST", "/record/1?q=%2F", "attempt-1", "a belt"));
+  EXPECT_EQ(statusOf(*caller), 200);
+  EXPECT_EQ(caller->body(), "done");
+  EXPECT_EQ(caller->header(platform::SealHeader), "seal-attempt-1");
+  ASSERT_EQ(upstream.requests().size(), 1U);
+  const std::string request = upstream.requests()[0];
+  EXPECT_TRUE(request.starts_with("POST /record/1?q=%2F HTTP/1.1\r\n")) << request;
+  EXPECT_TRUE(request.ends_with("\r\n\r\na belt")) << request;
+  EXPECT_NE(request.find("X-Wigeonlift-Expected-Instance: i-1\r\n"), std::string::npos);
+  const std::size_t n = request.find("X-Wigeonlift-Deadline-Remaining: ");
+  ASSERT_NE(n, std::string::npos);
+  EXPECT_LE(std::stoi(request.substr(n + 33)), 1500);
+}
+
+// Guards against a promotion that runs twice because its upstream broke off without an answer.
+TEST_F(GatewayFixture, AnUnsafeRequestWithoutAnAnswerIsNotRepeated) {
+  PlatformUpstream first{Context, "i-1", brokenConnection};
+  PlatformUpstream second{Context, "i-2", brokenConnection};
+  configure({&first, &second});
+  const auto caller = ask(callerRequest("POST", "/record/1", "attempt-1", "a belt"));
+  EXPECT_EQ(statusOf(*caller), 502);
+  EXPECT_EQ(first.requests().size() + second.requests().size(), 1U);
+}
+
+// Guards against a promotion that fails although an upstream said that it had not run it.
+TEST_F(GatewayFixture, AnUnsafeRequestThatWasNotRunGoesElsewhere) {
+  int arrivals = 0;
+  const auto rejectsFirst = [&](const std::string &attemptId) {
+    return arrivals++ == 0 ? rejection(attemptId) : success(attemptId);
+  };
+  PlatformUpstream first{Context, "i-1", rejectsFirst};
+  PlatformUpstream second{Context, "i-2", rejectsFirst};
+  configure({&first, &second});
+  const auto caller = ask(callerRequest("POST", "/record/1", "attempt-1", "a belt"));
+  EXPECT_EQ(statusOf(*caller), 200);
+  EXPECT_EQ(first.requests().size(), 1U);
+  EXPECT_EQ(second.requests().size(), 1U);
+}
+
+// Guards against a refusal that says nothing of when to come back, or that hides that nothing ran.
+TEST_F(GatewayFixture, ARequestThatNoUpstreamRanIsRefused) {
+  PlatformUpstream first{Context, "i-1", rejection};
+  PlatformUpstream second{Context, "i-2", rejection};
+  configure({&first, &second});
+  const auto caller = ask(callerRequest("POST", "/record/1", "attempt-1", "a belt"));
+  EXPECT_EQ(statusOf(*caller), 503);
+  EXPECT_FALSE(caller->header("Retry-After").empty());
+  EXPECT_EQ(first.requests().size() + second.requests().size(), 2U);
+}
+
+// Guards against an answer of somebody else's: a second answer to an earlier request arrives where
+// the next one's is due.
+TEST_F(GatewayFixture, AForeignAnswerIsNeverShown) {
+  PlatformUpstream upstream{Context, "i-1", [](const std::string &attemptId) -> FakeReply {
+                              return {sealedAnswer("earlier", "not yours") +
+                                      sealedAnswer(attemptId, "yours")};
+                            }};
+  configure({&upstream});
+  const auto caller = ask(callerRequest("GET", "/look/1", "attempt-1"));
+  EXPECT_EQ(statusOf(*caller), 200);
+  EXPECT_EQ(caller->body(), "yours");
+  // The connection has shown that it is out of step.
+  runUntil([&] { return upstream.closedConnections() > 0; });
+}
+
+// Guards against a success without the upstream's seal, and against a success made of a failure.
+TEST_F(GatewayFixture, AnAnswerWithoutSealIsNoSuccess) {
+  PlatformUpstream upstream{Context, "i-1", [](const std::string &attemptId) -> FakeReply {
+                              return {fmt::format("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"
+                                                  "X-Wigeonlift-Attempt-Id: {}\r\n\r\nfake",
+                                                  attemptId)};
+                            }};
+  configure({&upstream});
+  const auto caller = ask(callerRequest("POST", "/record/1", "attempt-1", "a belt"));
+  EXPECT_EQ(statusOf(*caller), 502);
+  EXPECT_EQ(caller->Received.find("fake"), std::string::npos);
+}
+
+// Guards against a failure of the upstream that is replaced by one of ours.
+TEST_F(GatewayFixture, TheUpstreamsOwnFailureIsPassedOn) {
+  PlatformUpstream upstream{Context, "i-1", [](const std::string &attemptId) -> FakeReply {
+                              return {sealedAnswer(attemptId, "no", 500)};
+                            }};
+  configure({&upstream});
+  const auto caller = ask(callerRequest("POST", "/record/1", "attempt-1", "a belt"));
+  EXPECT_EQ(statusOf(*caller), 500);
+  EXPECT_EQ(caller->header(platform::SealHeader), "seal-attempt-1");
+}
+
+// Guards against half an archive that looks like a whole one.
+TEST_F(GatewayFixture, ABrokenDownloadIsFetchedFromAnotherUpstream) {
+  int answers = 0;
+  const auto breaksFirst = [&](const std::string &attemptId) -> FakeReply {
+    std::string bytes = sealedAnswer(attemptId, "a whole archive");
+    if (answers++ > 0)
+      return {bytes};
+    bytes.resize(bytes.size() - 5);
+    return {.Bytes = bytes, .Closes = true};
+  };
+  PlatformUpstream first{Context, "i-1", breaksFirst};
+  PlatformUpstream second{Context, "i-2", breaksFirst};
+  configure({&first, &second});
+  const auto caller = ask(callerRequest("GET", "/bulk/1", "attempt-1"));
+  EXPECT_EQ(statusOf(*caller), 200);
+  EXPECT_EQ(caller->body(), "a whole archive");
+  EXPECT_EQ(answers, 2);
+}
+
+// Guards against a second request that is smuggled inside another one's body.
+TEST_F(GatewayFixture, AmbiguousRequestsReachNoUpstream) {
+  PlatformUpstream upstream{Context, "i-1", success};
+  configure({&upstream});
+  for (const auto *fields :
+       {"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+        "Content-Length: 4\r\nContent-Length: 5\r\n", "Transfer-Encoding: gzip, chunked\r\n"}) {
+    const auto caller = ask(fmt::format("POST /record/1 HTTP/1.1\r\nHost: h.example\r\n"
+                                        "X-Wigeonlift-Attempt-Id: a\r\n{}\r\n0\r\n\r\n",
+                                        fields));
+    EXPECT_EQ(statusOf(*caller), 400) << fields;
+    runUntil([&] { return caller->IsClosed; });
+  }
+  EXPECT_TRUE(upstream.requests().empty());
+}
+
+// Guards against a 404 for a route that a configuration still to come may have.
+TEST_F(GatewayFixture, WithoutAConfigurationRequestsAreRefused) {
+  const auto caller = ask(callerRequest("GET", "/look/1", "attempt-1"));
+  EXPECT_EQ(statusOf(*caller), 503);
+  EXPECT_FALSE(caller->header("Retry-After").empty());
+}
+
+// Guards against requests that wait for a route that the configuration doesn't have.
+TEST_F(GatewayFixture, UnknownRoutesAreRejectedAtOnce) {
+  PlatformUpstream upstream{Context, "i-1", success};
+  configure({&upstream});
+  EXPECT_EQ(statusOf(*ask(callerRequest("GET", "/unknown/1", "attempt-1"))), 404);
+  EXPECT_TRUE(upstream.requests().empty());
+}
+
+// Guards against upstreams that go on working for a caller who has left.
+TEST_F(GatewayFixture, ACallerWhoLeavesCancelsIdempotentWork) {
+  const auto silent = [](const std::string &) -> FakeReply { return {}; };
+  PlatformUpstream upstream{Context, "i-1", silent};
+  configure({&upstream});
+  const auto caller = connect();
+  caller->send(callerRequest("GET", "/look/1", "attempt-1"));
+  runUntil([&] { return !upstream.requests().empty(); });
+  const int closed = upstream.closedConnections();
+  const auto leftAt = std::chrono::steady_clock::now();
+  caller->close();
+  runUntil([&] { return upstream.closedConnections() > closed; });
+  EXPECT_LT(std::chrono::steady_clock::now() - leftAt, std::chrono::milliseconds{500});
+}
+
+// Guards against a caller on a kept connection who gets no answer to the second request.
+TEST_F(GatewayFixture, AConnectionServesSeveralRequests) {
+  PlatformUpstream upstream{Context, "i-1", success};
+  configure({&upstream});
+  const auto caller = connect();
+  for (int n = 0; n < 3; ++n) {
+    caller->Received.clear();
+    caller->send(callerRequest("GET", "/look/1", fmt::format("attempt-{}", n)));
+    runUntil([&] { return caller->hasAnswer(); });
+    EXPECT_EQ(caller->header(platform::AttemptIdHeader), fmt::format("attempt-{}", n));
+  }
+}
+
+} // namespace wigeonlift
--- a/Tests/Entry/FakeUpstream.cpp
+++ b/Tests/Support/FakeUpstream.cpp
@@ -82,10 +82,4 @@
   ++Closed;
 }
 
-std::string okResponse(const std::string &body, const std::string &fields) {
-  return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n"
-                     "Wigeonlift-Load: in_flight=0;queued=0;slots=3;state=ready\r\n{}\r\n{}",
-                     body.size(), fields, body);
-}
-
 } // namespace wigeonlift
--- a/Tests/Entry/FakeUpstream.h
+++ b/Tests/Support/FakeUpstream.h
@@ -46,7 +46,4 @@
   boost::asio::ip::tcp::acceptor Acceptor;
 };
 
-/// A whole response with a load report.
-std::string okResponse(const std::string &body, const std::string &fields = "");
-
 } // namespace wigeonlift
