Gateway: Bound the bytes of request bodies held at a time

Bodies are read whole before a request is sent, and the operator's limit for one is up to 64 MB, so a few callers could make a process of 160 MB exceed its memory. Bodies now share a quarter of it; what finds no room is refused with 503 before it is read. Found by reading, guarded by a test of the data path.

--- /dev/null
+++ b/Services/Gateway/BodyMemory.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstddef>
+#include <utility>
+
+namespace wigeonlift {
+
+/// Bounds the bytes of request bodies that the process holds at a time, so that callers with large
+/// bodies can't make it exceed its memory. It must outlive its reservations.
+class BodyMemory {
+public:
+  explicit BodyMemory(std::size_t limit) : Limit(limit) {}
+
+  /// A part of the memory that is given back when the reservation ends.
+  class Reservation {
+  public:
+    Reservation() = default;
+    Reservation(BodyMemory &memory, std::size_t bytes) : Memory(&memory), Bytes(bytes) {
+      Memory->Held += Bytes;
+    }
+    Reservation(Reservation &&other) noexcept
+        : Memory(std::exchange(other.Memory, nullptr)), Bytes(other.Bytes) {}
+    Reservation &operator=(Reservation &&other) noexcept {
+      std::swap(Memory, other.Memory);
+      std::swap(Bytes, other.Bytes);
+      return *this;
+    }
+    ~Reservation() {
+      if (Memory)
+        Memory->Held -= Bytes;
+    }
+
+  private:
+    BodyMemory *Memory = nullptr;
+    std::size_t Bytes = 0;
+  };
+
+  std::size_t room() const { return Held < Limit ? Limit - Held : 0; }
+  /// Counts bytes also beyond the limit: a body without an announced length is only known when it
+  /// has been read.
+  Reservation reserve(std::size_t bytes) { return {*this, bytes}; }
+
+private:
+  std::size_t Limit;
+  std::size_t Held = 0;
+};
+
+} // namespace wigeonlift
--- a/Services/Gateway/CallerSession.cpp
+++ b/Services/Gateway/CallerSession.cpp
@@ -26,6 +26,8 @@
 // Other VMs take the request at once.
 constexpr Duration StoppingRetry = std::chrono::milliseconds{1};
 constexpr Duration NoPlanRetry = std::chrono::milliseconds{300};
+// Bodies that fill the memory are on their way to upstreams.
+constexpr Duration NoMemoryRetry = std::chrono::milliseconds{100};
 constexpr std::size_t RelayBytes = 64 * 1024;
 
 constexpr int BadRequest = 400;
@@ -142,25 +144,42 @@
           .MaxAttempts = route.MaxAttempts};
 }
 
-asio::awaitable<bool> CallerSession::serveRouted(const Route &route, std::string callerAttempt) {
+asio::awaitable<CallerSession::ReceivedBody> CallerSession::receiveBody() {
+  ReceivedBody result;
   const std::size_t maxBody = Owner.plans().inForce()->plan().Limits.BodyBytes;
-  if (Caller->bodyLength() > static_cast<std::int64_t>(maxBody)) {
-    MustClose = true;
-    co_return co_await reject(BodyTooLarge, "body too large");
+  BodyMemory &memory = Owner.bodyMemory();
+  const auto announced = static_cast<std::size_t>(std::max<std::int64_t>(0, Caller->bodyLength()));
+  if (announced > maxBody || announced > memory.room()) {
+    result.Rejection = announced > maxBody ? BodyTooLarge : Unavailable;
+    co_return result;
   }
+  result.Memory = memory.reserve(announced);
   if (Caller->awaitsContinue())
     co_await Caller->writeContinue();
+  const std::size_t most = std::min(maxBody, announced + memory.room());
+  const ReadResult read = co_await Caller->readBody(result.Text, most);
+  result.IsClosed = read == ReadResult::Closed;
+  if (read == ReadResult::TooLarge)
+    result.Rejection = most < maxBody ? Unavailable : BodyTooLarge;
+  else
+    result.Memory = memory.reserve(result.Text.size());
+  co_return result;
+}
+
+asio::awaitable<bool> CallerSession::serveRouted(const Route &route, std::string callerAttempt) {
   const RequestSpec spec = specFor(route);
-  std::string body;
-  const ReadResult result = co_await Caller->readBody(body, maxBody);
-  if (result == ReadResult::Closed)
+  ReceivedBody body = co_await receiveBody();
+  if (body.IsClosed)
     co_return false;
-  if (result == ReadResult::TooLarge) {
+  if (body.Rejection != 0) {
     MustClose = true;
-    co_return co_await reject(BodyTooLarge, "body too large");
+    const bool mayReturn = body.Rejection == Unavailable;
+    co_return co_await reject(body.Rejection,
+                              mayReturn ? "no memory for the body" : "body too large",
+                              mayReturn ? NoMemoryRetry : Duration::zero());
   }
-  auto request = std::make_shared<ProxiedRequest>(Owner.context().get_executor(), spec,
-                                                  upstreamHead(Caller->head()), std::move(body));
+  auto request = std::make_shared<ProxiedRequest>(
+      Owner.context().get_executor(), spec, upstreamHead(Caller->head()), std::move(body.Text));
   request->CallerAttempt = std::move(callerAttempt);
   request->Route = route.Name;
   request->Service = Owner.partFor(route);
--- a/Services/Gateway/CallerSession.h
+++ b/Services/Gateway/CallerSession.h
@@ -5,6 +5,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <memory>
+#include <string>
 
 namespace wigeonlift {
 
@@ -16,8 +17,18 @@
   boost::asio::awaitable<void> run();
 
 private:
+  /// A request's body, or why it wasn't taken.
+  struct ReceivedBody {
+    std::string Text;
+    BodyMemory::Reservation Memory;
+    bool IsClosed = false;
+    /// Status of the answer to a body that can't be taken; otherwise 0.
+    int Rejection = 0;
+  };
+
   /// Whether the connection may carry another request.
   boost::asio::awaitable<bool> serveRequest();
+  boost::asio::awaitable<ReceivedBody> receiveBody();
   boost::asio::awaitable<bool> serveRouted(const Route &route, std::string callerAttempt);
   boost::asio::awaitable<bool> relay(WholeAnswer answer);
   boost::asio::awaitable<bool> relay(OpenAnswer answer);
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -17,13 +17,23 @@
 constexpr double SafeProbeShare = 0.8;
 constexpr Duration FiguresInterval = std::chrono::seconds{5};
 constexpr double SafeRepeatShare = 0.95;
+// The rest is for answers, connections and the fleet's state.
+constexpr double BodyShareOfMemory = 0.25;
+constexpr std::size_t BytesPerMb = 1024 * 1024;
+// For settings without a memory limit.
+constexpr int DefaultMemoryMb = 256;
+
+std::size_t bodyLimit(const GatewaySettings &settings) {
+  const int mb = settings.MemoryMb > 0 ? settings.MemoryMb : DefaultMemoryMb;
+  return static_cast<std::size_t>(BodyShareOfMemory * mb * static_cast<double>(BytesPerMb));
+}
 
 } // namespace
 
 Gateway::Gateway(boost::asio::io_context &context, const GatewaySettings &settings, EventLog &log,
                  std::uint64_t seed)
     : Context(context), Settings(settings), Log(log), Requests(log), Seed(seed), Rng(seed),
-      LapseTimer(context), MaintainedAt(bootTimeNow()) {}
+      Bodies(bodyLimit(settings)), LapseTimer(context), MaintainedAt(bootTimeNow()) {}
 
 void Gateway::didLearn(std::span<const StoreItem> changes, std::string_view source,
                        Removal removals) {
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "BodyMemory.h"
 #include "RequestLog.h"
 #include "ServiceTask.h"
 #include "StopPlan.h"
@@ -63,6 +64,7 @@
   EventLog &eventLog() { return Log; }
   RequestLog &log() { return Requests; }
   GatewayCounts &counts() { return Counts; }
+  BodyMemory &bodyMemory() { return Bodies; }
   boost::asio::io_context &context() { return Context; }
   const std::map<std::string, std::shared_ptr<ServiceTask>> &services() const { return Services; }
   const UpstreamList &upstreams() const { return Upstreams; }
@@ -89,6 +91,7 @@
   std::map<std::string, Duration, std::less<>> LongestWaits;
   std::map<std::string, std::uint32_t, std::less<>> Kinds;
   GatewayCounts Counts;
+  BodyMemory Bodies;
   std::uint64_t LastCall = 0;
   double BudgetShare = 0.05;
   StopPlan Stop;
--- a/Tests/Gateway/GatewayFixture.cpp
+++ b/Tests/Gateway/GatewayFixture.cpp
@@ -30,6 +30,7 @@
   GatewaySettings settings;
   settings.Name = "gateway-1";
   settings.DataCentre = "a";
+  settings.MemoryMb = 8;
   // Neither repeats nor probes are what these tests run out of.
   settings.Bounds.RepeatRatio = 100;
   settings.Bounds.ProbesPerUpstreamSecond = 100'000;
--- a/Tests/Gateway/TestDataPath.cpp
+++ b/Tests/Gateway/TestDataPath.cpp
@@ -4,6 +4,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace wigeonlift {
 
 namespace {
@@ -186,4 +188,25 @@
   }
 }
 
+// Guards against callers whose large bodies, together, exceed the memory of the process.
+TEST_F(GatewayFixture, BodiesBeyondTheMemoryAreRefused) {
+  PlatformUpstream upstream{Context, "i-1", success};
+  configure({&upstream});
+  const std::string head = "POST /record/1 HTTP/1.1\r\nHost: h.example\r\n"
+                           "X-Wigeonlift-Attempt-Id: a\r\nContent-Length: 900000\r\n\r\n";
+  // The settings of these tests allow bodies of 2 MiB together.
+  std::vector<std::shared_ptr<RawCaller>> callers;
+  for (int n = 0; n < 3; ++n) {
+    callers.push_back(connect());
+    callers.back()->send(head);
+  }
+  runUntil(
+      [&] { return std::ranges::any_of(callers, [](const auto &it) { return it->hasAnswer(); }); });
+  EXPECT_EQ(std::ranges::count_if(callers, [](const auto &it) { return statusOf(*it) == 503; }), 1);
+  for (const auto &it : callers)
+    it->close();
+  runUntil([&] { return Core.bodyMemory().room() == 2 * 1024 * 1024; });
+  EXPECT_TRUE(upstream.requests().empty());
+}
+
 } // namespace wigeonlift
