--- a/Libraries/LibBalance/Placement.cpp
+++ b/Libraries/LibBalance/Placement.cpp
@@ -40,7 +40,7 @@
 constexpr double TroubleFactorOnce = 3.0;
 constexpr double BytesPerKib = 1024;
 // A request that no upstream has taken after this share of its time is refused.
-constexpr double UntriedShareOfTime = 0.65;
+constexpr double UntriedShareOfTime = 0.35;
 
 } // namespace
 
--- a/Tests/LibBalance/TestChoice.cpp
+++ b/Tests/LibBalance/TestChoice.cpp
@@ -130,6 +130,22 @@
   EXPECT_GT(it.Refused[id].RetryAfter, Duration::zero());
 }
 
+// Pattern: long overload. Guards against requests that wait for most of their time and are refused
+// when their caller can't come back any more: 5% of the worth on kapokki-gw-grown scale-1.
+TEST(Choice, RefusesInTimeForTheCallerToComeBack) {
+  Harness it{2};
+  it.teach();
+  for (auto &[index, load] : it.Loads)
+    load.InFlight = 3;
+  it.advance(std::chrono::milliseconds{50});
+  RequestSpec spec = it.spec();
+  spec.Deadline = it.Now + std::chrono::seconds{5};
+  const CallId id = it.arrive(spec);
+  it.advance((spec.Deadline - it.Now) / 2);
+  ASSERT_TRUE(it.Refused.contains(id));
+  EXPECT_LE(it.Refused[id].RetryAfter, (spec.Deadline - it.Now) / 3 * 2);
+}
+
 // Pattern: all upstreams shed half of their requests. Guards against a service that is given up
 // because each of its upstreams fails as often as the others.
 TEST(Choice, UpstreamsThatAllFailAlikeStayInUse) {
