LibBalance: Let small VMs work with a subset of a large service

Change: a VM works with 24 upstreams of a service, or with ten times its share of the requests if that is more, two thirds of them near. Services of up to 24 upstreams are used as a whole, so the small sites don't change.

--- a/Libraries/LibBalance/LibBalance.h
+++ b/Libraries/LibBalance/LibBalance.h
@@ -2,3 +2,4 @@
 
 #include <LibBalance/BalanceTypes.h>
 #include <LibBalance/ServiceBalancer.h>
+#include <LibBalance/UpstreamSubset.h>
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -138,6 +138,7 @@
 void Gateway::shareBudgets() {
   const FleetBounds &bounds = Settings.Bounds;
   for (const auto &[name, task] : Services) {
+    task->setRequestShare(BudgetShare);
     task->setRepeatBounds(bounds.RepeatRatio, SafeRepeatShare * bounds.RepeatExtra * BudgetShare,
                           bounds.RepeatWindow);
     task->setProbeRate(SafeProbeShare * bounds.ProbesPerUpstreamSecond *
--- a/Services/Gateway/ServiceTask.cpp
+++ b/Services/Gateway/ServiceTask.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <utility>
 
@@ -13,15 +14,22 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+// Smaller changes of the share are left alone, since each change of the subset costs connections.
+constexpr double ShareTolerance = 0.2;
+
+} // namespace
+
 ServiceTask::ServiceTask(asio::io_context &context, std::string name, std::string dataCentre,
                          std::uint64_t seed, RequestLog log)
     : Context(context), Name(std::move(name)), DataCentre(std::move(dataCentre)), Log(log),
-      Balancer(seed, bootTimeNow()), Timer(context) {}
+      Seed(seed), Balancer(seed, bootTimeNow()), Timer(context) {}
 
 void ServiceTask::setUpstreams(const std::vector<UpstreamRecord> &records) {
   const TimePoint now = bootTimeNow();
   std::set<std::string> named;
-  std::vector<UpstreamFacts> facts;
+  Known.clear();
   for (const UpstreamRecord &record : records) {
     const auto endpoint = parseEndpoint(record.Address);
     if (!endpoint)
@@ -41,7 +49,7 @@
       ByIndex[known->Index] = known;
     }
     known->Record = record;
-    facts.push_back({.Index = known->Index,
+    Known.push_back({.Index = known->Index,
                      .IsNear = record.DataCentre == DataCentre,
                      .Slots = record.Slots,
                      .WarmUntil = known->WarmUntil});
@@ -56,8 +64,19 @@
     const auto known = Upstreams.find(it.second->Record.Id);
     return known == Upstreams.end() || known->second != it.second;
   });
+  useSubset();
+}
+
+void ServiceTask::setRequestShare(double share) {
+  if (std::abs(share - RequestShare) <= ShareTolerance * RequestShare)
+    return;
+  RequestShare = share;
+  useSubset();
+}
+
+void ServiceTask::useSubset() {
   BalanceCommands out;
-  Balancer.setUpstreams(facts, now, out);
+  Balancer.setUpstreams(chooseSubset(Known, Seed, RequestShare), bootTimeNow(), out);
   execute(out);
 }
 
--- a/Services/Gateway/ServiceTask.h
+++ b/Services/Gateway/ServiceTask.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <span>
 #include <string>
+#include <vector>
 
 namespace wigeonlift {
 
@@ -48,6 +49,8 @@
   void setPlan(const std::string &healthPath, int maxConnections);
   void setRepeatBounds(double ratio, double allowance, Duration window);
   void setProbeRate(double probesPerSecond);
+  /// The part of the fleet's requests that this VM gets, from 0 to 1.
+  void setRequestShare(double share);
 
   void requestArrived(std::shared_ptr<ProxiedRequest> request);
   void callerLeft(CallId id);
@@ -69,6 +72,7 @@
   PoolCounts connections() const;
 
 private:
+  void useSubset();
   void execute(const BalanceCommands &commands);
   void run(const SendRequest &command);
   void run(const AbandonAttempt &command);
@@ -80,7 +84,11 @@
   std::string Name;
   std::string DataCentre;
   RequestLog Log;
+  std::uint64_t Seed;
   ServiceBalancer Balancer;
+  /// All upstreams of the service; the balancer works with a subset.
+  std::vector<UpstreamFacts> Known;
+  double RequestShare = 1;
   std::string HealthPath = "/health";
   int ConnectionLimit = 64;
   std::map<std::string, std::shared_ptr<KnownUpstream>> Upstreams;
