LibBalance: Refuse untried requests when they are late

Cause: in overload the upstreams' slots went to requests that were late already. Each of them took the place of one that could have been in time.

Change: an untried request is refused once it can't meet its objective, after 12% of its time at the earliest, instead of after 35% of its time.

--- a/Libraries/LibBalance/Placement.cpp
+++ b/Libraries/LibBalance/Placement.cpp
@@ -39,8 +39,9 @@
 // A failure of a request that can't be repeated is final.
 constexpr double TroubleFactorOnce = 3.0;
 constexpr double BytesPerKib = 1024;
-// A request that no upstream has taken after this share of its time is refused.
-constexpr double UntriedShareOfTime = 0.35;
+// A request that no upstream has taken is refused when it can't meet its objective any more, but
+// not before this share of its time has passed: a caller that comes back is late from the start.
+constexpr double LeastPatience = 0.12;
 
 } // namespace
 
@@ -56,9 +57,9 @@
   if (now + work(request) > request.Spec.Deadline)
     return true;
   // A caller that is told early can still come back.
-  const Duration patience = request.Spec.Deadline - request.Spec.ArrivedAt;
-  return request.Tried.empty() &&
-         toSeconds(now - request.Spec.ArrivedAt) > UntriedShareOfTime * toSeconds(patience);
+  const Duration time = request.Spec.Deadline - request.Spec.ArrivedAt;
+  return request.Tried.empty() && isLate(request, now) &&
+         toSeconds(now - request.Spec.ArrivedAt) > LeastPatience * toSeconds(time);
 }
 
 std::vector<CallId> ServiceBalancer::inOrder(TimePoint now) const {
--- a/Tests/LibBalance/TestChoice.cpp
+++ b/Tests/LibBalance/TestChoice.cpp
@@ -149,6 +149,23 @@
   EXPECT_LE(it.Refused[id].RetryAfter, (spec.Deadline - it.Now) / 3);
 }
 
+// Pattern: short burst. Guards against the refusal of requests that can still meet their objective.
+TEST(Choice, KeepsTimelyRequestsWaiting) {
+  Harness it{2};
+  it.teach();
+  for (auto &[index, load] : it.Loads)
+    load.InFlight = 3;
+  it.advance(std::chrono::milliseconds{50});
+  const RequestSpec spec = it.spec();
+  const CallId id = it.arrive(spec);
+  it.advance(spec.Objective - it.Now - Work - std::chrono::milliseconds{40});
+  EXPECT_FALSE(it.Refused.contains(id));
+  for (auto &[index, load] : it.Loads)
+    load.InFlight = 0;
+  it.advance(std::chrono::milliseconds{40});
+  EXPECT_EQ(it.sendsOf(id).size(), 1U);
+}
+
 // Pattern: all upstreams shed half of their requests. Guards against a service that is given up
 // because each of its upstreams fails as often as the others.
 TEST(Choice, UpstreamsThatAllFailAlikeStayInUse) {
