--- a/Meta/soak/__main__.py
+++ b/Meta/soak/__main__.py
@@ -73,7 +73,8 @@
         callers = [Caller(self.fleet, ZONES[n % 3], self.judge, new_random(self.options.seed, f"caller {n}"))
                    for n in range(self.options.callers)]
         loop_until = asyncio.get_running_loop().time() + self.options.seconds + RECOVERY_S
-        await asyncio.gather(plan.run(until), self.watch_configuration(until, plan),
+        faults = () if self.options.calm else (plan.run(until),)
+        await asyncio.gather(*faults, self.watch_configuration(until, plan),
                              *(caller.run(loop_until, 0.2) for caller in callers))
         await self.check_recovery()
         self.judge.check_budget()
@@ -138,6 +139,7 @@
     parser.add_argument("--vms", type=int, default=6)
     parser.add_argument("--upstreams", type=int, default=12)
     parser.add_argument("--callers", type=int, default=30)
+    parser.add_argument("--calm", action="store_true", help="without faults")
     parser.add_argument("--log", help="file for what the processes write")
     options = parser.parse_args()
     # Handlers of open connections end with the loop, which is no news.
