LibBalance: Late requests take no slow upstream

Cause: of the upstreams with a fresh report the cheapest was looked at, even if it was full and could not be used, so a free upstream behind it stayed unused.

Change: full upstreams hide no free one, and a late request takes only an upstream that is no slower than the service usually is. When the whole service is slow late requests are served as before.

--- a/Libraries/LibBalance/Placement.cpp
+++ b/Libraries/LibBalance/Placement.cpp
@@ -145,7 +145,9 @@
                                                                 TimePoint now) {
   std::optional<Candidate> result;
   for (auto &[index, view] : Upstreams) {
-    if (!view.isFresh(now) || !mayUse(view, request, now))
+    // The last slot would slow all requests at the upstream down, and with it the service.
+    const bool hasRoom = view.occupied() < view.easySlots();
+    if (!hasRoom || !view.isFresh(now) || !mayUse(view, request, now))
       continue;
     const Candidate it = judge(view, request, now);
     if (!result || it.Cost < result->Cost)
@@ -180,19 +182,20 @@
 }
 
 bool ServiceBalancer::isGood(const Candidate &candidate, const Request &request) const {
-  return candidate.View->occupied() < candidate.View->easySlots() &&
-         toSeconds(candidate.Cost) <= GoodFactor * toSeconds(work(request)) + toSeconds(FarCost);
+  return toSeconds(candidate.Cost) <= GoodFactor * toSeconds(work(request)) + toSeconds(FarCost);
 }
 
 bool ServiceBalancer::isAcceptable(const Candidate &candidate, const Request &request,
                                    TimePoint now) const {
   if (request.WantsHedge)
     return false;
-  // The last slot would slow all requests at the upstream down, and with it the service.
-  if (candidate.View->occupied() >= candidate.View->easySlots())
-    return false;
-  return now + candidate.Expected <= request.Spec.Objective ||
-         (isLate(request, now) && now + candidate.Expected <= request.Spec.Deadline);
+  if (now + candidate.Expected <= request.Spec.Objective)
+    return true;
+  // A late request on a slow upstream takes the place of several that could be in time. When the
+  // whole service is slow there is nothing better.
+  const bool isUsual =
+      toSeconds(candidate.Expected) <= GoodFactor * TypicalSlowness * toSeconds(work(request));
+  return isUsual && isLate(request, now) && now + candidate.Expected <= request.Spec.Deadline;
 }
 
 void ServiceBalancer::start(Request &request, const Candidate &candidate, TimePoint now,
--- a/Tests/LibBalance/TestChoice.cpp
+++ b/Tests/LibBalance/TestChoice.cpp
@@ -166,6 +166,61 @@
   EXPECT_EQ(it.sendsOf(id).size(), 1U);
 }
 
+// Pattern: long overload. Guards against a free upstream that stays unused because a full one,
+// which may not be used, looks faster.
+TEST(Choice, FullUpstreamsHideNoFreeOne) {
+  Harness it{6};
+  it.teach();
+  for (auto &[index, load] : it.Loads)
+    load.InFlight = 3;
+  it.Loads[Harness::index(2)] = LoadReport{.Slots = 3, .SlownessPercent = 250};
+  it.advance(std::chrono::milliseconds{50});
+  RequestSpec spec = it.spec();
+  spec.Objective = it.Now + 3 * Work;
+  const CallId id = it.arrive(spec);
+  it.advance(std::chrono::milliseconds{50});
+  ASSERT_EQ(it.sendsOf(id).size(), 1U);
+  EXPECT_EQ(it.sendOf(id).Upstream, Harness::index(2));
+}
+
+// Pattern: long overload. Guards against late requests that hold the slots of slow upstreams, each
+// in the place of several that could be in time.
+TEST(Choice, LateRequestsTakeNoSlowUpstream) {
+  Harness it{8};
+  it.teach();
+  for (auto &[index, load] : it.Loads)
+    load.InFlight = 3;
+  it.Loads[Harness::index(2)] = LoadReport{.Slots = 3, .SlownessPercent = 400};
+  it.advance(std::chrono::milliseconds{50});
+  RequestSpec spec = it.spec();
+  spec.Objective = it.Now;
+  spec.Deadline = it.Now + std::chrono::seconds{5};
+  const CallId id = it.arrive(spec);
+  it.advance(std::chrono::milliseconds{300});
+  EXPECT_TRUE(it.sendsOf(id).empty());
+}
+
+// Pattern: a whole service is slow. Guards against refusals while its upstreams are idle.
+TEST(Choice, LateRequestsAreServedWhenAllUpstreamsAreSlow) {
+  Harness it{8};
+  it.teach();
+  for (auto &[index, load] : it.Loads)
+    load.SlownessPercent = 500;
+  constexpr int requests = 60;
+  int served = 0;
+  for (int n = 0; n < requests; ++n) {
+    RequestSpec spec = it.spec();
+    spec.Deadline = it.Now + std::chrono::seconds{5};
+    const CallId id = it.arrive(spec);
+    it.advance(std::chrono::milliseconds{900});
+    if (it.sendsOf(id).empty())
+      continue;
+    ++served;
+    it.answer(it.sendOf(id), AnswerKind::Success);
+  }
+  EXPECT_GE(served, requests / 2);
+}
+
 // Pattern: all upstreams shed half of their requests. Guards against a service that is given up
 // because each of its upstreams fails as often as the others.
 TEST(Choice, UpstreamsThatAllFailAlikeStayInUse) {
