--- a/Libraries/LibBalance/UpstreamSubset.cpp
+++ b/Libraries/LibBalance/UpstreamSubset.cpp
@@ -1,5 +1,7 @@
 #include <LibBalance/UpstreamSubset.h>
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -19,13 +21,6 @@
   const UpstreamFacts *Facts;
 };
 
-std::uint64_t mix(std::uint64_t value) {
-  value += 0x9e3779b97f4a7c15ULL;
-  value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
-  value = (value ^ (value >> 27)) * 0x94d049bb133111ebULL;
-  return value ^ (value >> 31);
-}
-
 } // namespace
 
 std::vector<UpstreamFacts> chooseSubset(std::span<const UpstreamFacts> upstreams,
@@ -38,7 +33,8 @@
   std::vector<Ranked> near;
   std::vector<Ranked> far;
   for (const UpstreamFacts &it : upstreams)
-    (it.IsNear ? near : far).push_back({mix(vmKey ^ mix(it.Index.Value)), &it});
+    (it.IsNear ? near : far)
+        .push_back({XXH3_64bits_withSeed(&it.Index.Value, sizeof(it.Index.Value), vmKey), &it});
   std::ranges::sort(near, {}, &Ranked::Rank);
   std::ranges::sort(far, {}, &Ranked::Rank);
   const auto nearWanted = static_cast<std::size_t>(NearPart * static_cast<double>(wanted));
--- a/Tests/LibBalance/Harness.h
+++ b/Tests/LibBalance/Harness.h
@@ -77,6 +77,13 @@
     Sent.clear();
   }
 
+  /// All slots of all upstreams are taken, and what was known of them before is too old to count.
+  void fillUpstreams() {
+    for (auto &[index, load] : Loads)
+      load.InFlight = load.Slots;
+    advance(std::chrono::milliseconds{50});
+  }
+
   /// Passes time, with all wake-ups that the balancer asks for.
   void advance(Duration span) {
     const TimePoint end = Now + span;
--- a/Tests/LibBalance/TestChoice.cpp
+++ b/Tests/LibBalance/TestChoice.cpp
@@ -25,9 +25,7 @@
 TEST(Choice, WaitsHereInsteadOfInTheQueuesOfFullUpstreams) {
   Harness it{4};
   it.teach();
-  for (auto &[index, load] : it.Loads)
-    load.InFlight = 3;
-  it.advance(std::chrono::milliseconds{50});
+  it.fillUpstreams();
   const CallId id = it.arrive();
   it.advance(std::chrono::milliseconds{60});
   EXPECT_TRUE(it.sendsOf(id).empty());
@@ -78,9 +76,7 @@
 TEST(Choice, WaitingRequestsShareTheirProbes) {
   Harness it{14};
   it.teach();
-  for (auto &[index, load] : it.Loads)
-    load.InFlight = 3;
-  it.advance(std::chrono::milliseconds{50});
+  it.fillUpstreams();
   for (int n = 0; n < 20; ++n)
     it.arrive();
   it.Probes = 0;
@@ -93,9 +89,7 @@
 TEST(Choice, ServesUrgentAndTimelyRequestsFirst) {
   Harness it{2};
   it.teach();
-  for (auto &[index, load] : it.Loads)
-    load.InFlight = 3;
-  it.advance(std::chrono::milliseconds{50});
+  it.fillUpstreams();
   RequestSpec late = it.spec();
   late.Objective = it.Now + std::chrono::milliseconds{20};
   late.Priority = 0;
@@ -119,9 +113,7 @@
 TEST(Choice, RefusesWhatCanNoLongerBeServed) {
   Harness it{2};
   it.teach();
-  for (auto &[index, load] : it.Loads)
-    load.InFlight = 3;
-  it.advance(std::chrono::milliseconds{50});
+  it.fillUpstreams();
   const RequestSpec spec = it.spec();
   const CallId id = it.arrive(spec);
   it.advance(spec.Deadline - it.Now - std::chrono::milliseconds{60});
@@ -135,9 +127,7 @@
 TEST(Choice, RefusesInTimeForTheCallerToComeBack) {
   Harness it{2};
   it.teach();
-  for (auto &[index, load] : it.Loads)
-    load.InFlight = 3;
-  it.advance(std::chrono::milliseconds{50});
+  it.fillUpstreams();
   RequestSpec spec = it.spec();
   spec.Deadline = it.Now + std::chrono::seconds{5};
   const CallId id = it.arrive(spec);
@@ -153,9 +143,7 @@
 TEST(Choice, KeepsTimelyRequestsWaiting) {
   Harness it{2};
   it.teach();
-  for (auto &[index, load] : it.Loads)
-    load.InFlight = 3;
-  it.advance(std::chrono::milliseconds{50});
+  it.fillUpstreams();
   const RequestSpec spec = it.spec();
   const CallId id = it.arrive(spec);
   it.advance(spec.Objective - it.Now - Work - std::chrono::milliseconds{40});
@@ -171,10 +159,8 @@
 TEST(Choice, FullUpstreamsHideNoFreeOne) {
   Harness it{6};
   it.teach();
-  for (auto &[index, load] : it.Loads)
-    load.InFlight = 3;
+  it.fillUpstreams();
   it.Loads[Harness::index(2)] = LoadReport{.Slots = 3, .SlownessPercent = 250};
-  it.advance(std::chrono::milliseconds{50});
   RequestSpec spec = it.spec();
   spec.Objective = it.Now + 3 * Work;
   const CallId id = it.arrive(spec);
@@ -188,10 +174,8 @@
 TEST(Choice, LateRequestsTakeNoSlowUpstream) {
   Harness it{8};
   it.teach();
-  for (auto &[index, load] : it.Loads)
-    load.InFlight = 3;
+  it.fillUpstreams();
   it.Loads[Harness::index(2)] = LoadReport{.Slots = 3, .SlownessPercent = 400};
-  it.advance(std::chrono::milliseconds{50});
   RequestSpec spec = it.spec();
   spec.Objective = it.Now;
   spec.Deadline = it.Now + std::chrono::seconds{5};
