LibDiscovery: Take a silent watch for a possible outage

Found by reading: since a watch's failure alone was no loss any more, an outage that ended while the watch was silent left no mark, and entries that had lapsed in it counted as removed for good instead of being kept until they return. A watch that times out is a loss again; one that was cut is judged by the check.

--- a/Libraries/LibDiscovery/StorePlan.cpp
+++ b/Libraries/LibDiscovery/StorePlan.cpp
@@ -48,9 +48,9 @@
 }
 
 void StorePlan::didAnswer(TimePoint now) {
-  IsProven = true;
-  if (Failures > 0)
+  if (!IsProven)
     RegainedAt = now;
+  IsProven = true;
   Failures = 0;
   if (IsLost && now - RegainedAt > LapseSpan)
     IsLost = false;
@@ -62,12 +62,11 @@
     return;
   }
   IsProven = false;
-  // The check that follows tells whether only the watch was cut.
-  if (Step == StoreStep::Watch) {
-    ++FailedWatches;
+  const bool wasWatch = Step == StoreStep::Watch;
+  (wasWatch ? FailedWatches : Failures) += 1;
+  // After a watch that was cut, the check that follows tells whether the store is away.
+  if (wasWatch && failure == StoreFailure::Unreachable)
     return;
-  }
-  ++Failures;
   IsLost = true;
   FailedAt = now;
 }
--- a/Libraries/LibDiscovery/StorePlan.h
+++ b/Libraries/LibDiscovery/StorePlan.h
@@ -16,7 +16,8 @@
 
 /// Why a call to the store brought nothing.
 enum class StoreFailure : std::uint8_t {
-  Unreachable,   ///< No answer, or one that refuses.
+  Unreachable,   ///< The call was refused or broke off.
+  Silent,        ///< No answer within the call's time limit.
   HistoryIsLost, ///< The store answers, but no longer knows what changed after the revision.
 };
 
@@ -26,7 +27,8 @@
 /// A watch says nothing while there is nothing to say, so a silent one may be deaf: the path was
 /// cut, or the store has dropped its history. A VM that takes over as reader, or whose watch
 /// failed, therefore asks for the store's revision first, which is answered at once, and reads
-/// everything if the replica is behind.
+/// everything if the replica is behind. The store may have been away all the while that a watch
+/// was silent, so entries may have lapsed; that counts as a loss even if the check succeeds.
 class StorePlan {
 public:
   StoreStep next(bool mustRead, TimePoint now);
@@ -42,7 +44,7 @@
   /// Whether other VMs shall rather read: calls have failed, now or a moment ago.
   bool isLost() const { return IsLost; }
   /// Whether the store answers again after a failure, but entries that lapsed may not be back yet.
-  bool isRecovering() const { return IsLost && Failures == 0; }
+  bool isRecovering() const { return IsLost && IsProven; }
   /// Pause before the next step. `unit` is a random number from 0 to 1, so that VMs that fail
   /// together don't return together.
   Duration pause(double unit) const;
--- a/Services/Gateway/StoreTask.cpp
+++ b/Services/Gateway/StoreTask.cpp
@@ -24,6 +24,12 @@
 constexpr Duration FirstStartWait = std::chrono::milliseconds{2000};
 constexpr Duration FirstStartCheck = std::chrono::milliseconds{250};
 
+StoreFailure failureOf(const absl::Status &status) {
+  if (absl::IsOutOfRange(status))
+    return StoreFailure::HistoryIsLost;
+  return absl::IsDeadlineExceeded(status) ? StoreFailure::Silent : StoreFailure::Unreachable;
+}
+
 } // namespace
 
 StoreTask::StoreTask(Gateway &gateway, FleetTask &fleet, std::uint64_t seed)
@@ -105,8 +111,7 @@
                          {{"call", std::string{call}},
                           {"why", status.ToString()},
                           {"rev", fmt::format("{}", Peers.replica().revision())}});
-  Plan.didFail(absl::IsOutOfRange(status) ? StoreFailure::HistoryIsLost : StoreFailure::Unreachable,
-               bootTimeNow());
+  Plan.didFail(failureOf(status), bootTimeNow());
 }
 
 void StoreTask::publish() {
--- a/Tests/LibDiscovery/TestStorePlan.cpp
+++ b/Tests/LibDiscovery/TestStorePlan.cpp
@@ -64,6 +64,24 @@
   EXPECT_EQ(plan.next(true, Start + ms(205)), StoreStep::Watch);
 }
 
+// Guards against a short outage that no call but a silent watch has seen: the entries that lapsed
+// in it must not count as removed before they had time to return.
+TEST(StorePlan, ASilentWatchMayHideAnOutage) {
+  StorePlan plan = watchingPlan();
+  EXPECT_EQ(plan.next(true, Start), StoreStep::Watch);
+  plan.didFail(StoreFailure::Silent, Start + ms(2500));
+  EXPECT_TRUE(plan.isLost());
+  EXPECT_EQ(plan.next(true, Start + ms(2500)), StoreStep::Check);
+  plan.didCheck(Known, Known, Start + ms(2510));
+  EXPECT_TRUE(plan.isRecovering());
+  EXPECT_EQ(plan.next(true, Start + ms(2510)), StoreStep::Watch);
+  plan.didWatch(Start + ms(4500));
+  EXPECT_TRUE(plan.isLost());
+  EXPECT_EQ(plan.next(true, Start + ms(5000)), StoreStep::Watch);
+  plan.didWatch(Start + ms(5000));
+  EXPECT_FALSE(plan.isLost());
+}
+
 // Guards against calls without a pause to a store that cuts every watch but answers checks.
 TEST(StorePlan, WatchesThatAreCutAgainAndAgainGetAPause) {
   StorePlan plan = watchingPlan();
