--- a/Libraries/LibFleet/Fleet.cpp
+++ b/Libraries/LibFleet/Fleet.cpp
@@ -1,7 +1,5 @@
 #include <LibFleet/Fleet.h>
 
-#include <fmt/format.h>
-
 #include <algorithm>
 #include <array>
 #include <set>
@@ -24,27 +22,13 @@
 constexpr Duration DeadAfter = std::chrono::milliseconds{3000};
 constexpr Duration DeadAfterPerVm = std::chrono::milliseconds{50};
 constexpr Duration FarDeadAfter = std::chrono::seconds{15};
-// Longer than the window of any budget.
-constexpr Duration BudgetMemory = std::chrono::seconds{60};
 constexpr Duration ForgetAfter = std::chrono::seconds{120};
 // Seeds are asked with each beat for this long, and now and then afterwards.
 constexpr Duration JoinSpan = std::chrono::seconds{5};
 constexpr std::uint64_t SeedBeats = 20;
-// A starting VM assumes a fleet of this size until it has heard of the others.
-constexpr double AssumedFleet = 12;
-constexpr Duration AssumeSpan = std::chrono::seconds{3};
-constexpr std::size_t ReadersPerDataCentre = 1;
 // The VM that comes next may itself be out of reach.
 constexpr std::size_t NextReadersTold = 3;
 constexpr std::size_t FewReceivers = 2;
-// A VM that the store answered within this time reaches it.
-constexpr Duration RecentContact = std::chrono::milliseconds{1500};
-
-std::uint64_t mix(std::uint64_t value) {
-  value ^= value >> 33;
-  value *= 0xff51afd7ed558ccdULL;
-  return value ^ (value >> 33);
-}
 
 } // namespace
 
@@ -162,109 +146,6 @@
   return it != Peers.end() && isNear(it->second.Vm);
 }
 
-std::vector<FleetVm> Fleet::alive(TimePoint now) const {
-  std::vector<FleetVm> result{Self};
-  for (const auto &[ip, peer] : Peers)
-    if (isAlive(peer, now))
-      result.push_back(peer.Vm);
-  return result;
-}
-
-std::vector<FleetVm> Fleet::readerOrder(std::string_view dataCentre, TimePoint now) const {
-  std::vector<FleetVm> vms;
-  for (const FleetVm &it : alive(now))
-    if (it.DataCentre == dataCentre && !it.IsStopping && it.Revision > 0)
-      vms.push_back(it);
-  // VMs that reach the store come first, then large ones: a reader serves its whole data centre.
-  std::ranges::sort(vms, {}, [](const FleetVm &it) {
-    return std::tuple{it.HasLostStore, -static_cast<std::int64_t>(it.Weight), mix(it.Ip)};
-  });
-  return vms;
-}
-
-std::vector<FleetVm> Fleet::readersOf(std::string_view dataCentre, TimePoint now) const {
-  std::vector<FleetVm> vms = readerOrder(dataCentre, now);
-  vms.resize(std::min(vms.size(), ReadersPerDataCentre));
-  return vms;
-}
-
-bool Fleet::isReader(TimePoint now) const {
-  return std::ranges::any_of(readersOf(Self.DataCentre, now),
-                             [&](const FleetVm &it) { return it.Ip == Self.Ip; });
-}
-
-bool Fleet::hasWorkingReader(TimePoint now) const {
-  return std::ranges::any_of(readersOf(Self.DataCentre, now), [&](const FleetVm &it) {
-    return it.Ip != Self.Ip && !it.HasLostStore;
-  });
-}
-
-StoreAbsence Fleet::storeAbsence(TimePoint now) const {
-  std::map<std::string, bool> isCutOff{{Self.DataCentre, Self.HasLostStore}};
-  bool someHaveContact = !Self.HasLostStore && now - ContactAt < RecentContact;
-  for (const auto &[ip, peer] : Peers) {
-    if (!isAlive(peer, now))
-      continue;
-    isCutOff[peer.Vm.DataCentre] |= peer.Vm.HasLostStore;
-    const Duration age = now - peer.HeardAt + std::chrono::milliseconds{peer.Vm.ContactAgeMs};
-    someHaveContact |= !peer.Vm.HasLostStore && age < RecentContact;
-  }
-  const auto count = std::ranges::count_if(isCutOff, [](const auto &it) { return it.second; });
-  if (count == 0)
-    return StoreAbsence::None;
-  const bool isEverywhere = count == std::ssize(isCutOff);
-  return isEverywhere && !someHaveContact ? StoreAbsence::Certain : StoreAbsence::Possible;
-}
-
-std::optional<VmAddress> Fleet::ahead(StoreRevision revision, TimePoint now) {
-  std::vector<const Peer *> near;
-  std::vector<const Peer *> far;
-  for (const auto &[ip, peer] : Peers)
-    if (isAlive(peer, now) && peer.Vm.Revision > revision)
-      (isNear(peer.Vm) ? near : far).push_back(&peer);
-  const auto &peers = near.empty() ? far : near;
-  if (peers.empty())
-    return std::nullopt;
-  return peers[Rng.below(peers.size())]->Vm.Ip;
-}
-
-double Fleet::budgetShare(TimePoint now) const {
-  double known = Self.Weight;
-  for (const auto &[ip, peer] : Peers)
-    if (now - peer.HeardAt < BudgetMemory)
-      known += peer.Vm.Weight;
-  if (now - StartedAt < AssumeSpan)
-    known = std::max(known, AssumedFleet * static_cast<double>(Self.Weight));
-  return Self.Weight / known;
-}
-
-std::vector<VmAddress> Fleet::forCaller(std::string_view dataCentre, std::size_t most,
-                                        TimePoint now) {
-  std::vector<FleetVm> near;
-  std::vector<FleetVm> far;
-  for (const FleetVm &it : alive(now))
-    if (it.IsReady && !it.IsStopping)
-      (it.DataCentre == dataCentre ? near : far).push_back(it);
-  constexpr std::size_t fewNear = 2;
-  std::vector<FleetVm> chosen = near;
-  if (near.size() < fewNear)
-    chosen.insert(chosen.end(), far.begin(), far.end());
-  std::uint32_t largest = 1;
-  for (const FleetVm &it : chosen)
-    largest = std::max(largest, it.Weight);
-  std::vector<VmAddress> result;
-  // Callers choose at random among the addresses, so a small VM is left out of most answers.
-  for (const FleetVm &it : chosen)
-    if (Rng.unit() * largest < it.Weight)
-      result.push_back(it.Ip);
-  for (const FleetVm &it : chosen)
-    if (result.size() < fewNear && std::ranges::find(result, it.Ip) == result.end())
-      result.push_back(it.Ip);
-  std::ranges::shuffle(result, Rng.engine());
-  result.resize(std::min(result.size(), most));
-  return result;
-}
-
 std::vector<std::pair<VmAddress, std::string_view>> Fleet::takeNews(TimePoint now) {
   std::vector<std::pair<VmAddress, std::string_view>> news;
   for (auto &[ip, peer] : Peers) {
@@ -329,24 +210,4 @@
   return choices[Rng.below(choices.size())];
 }
 
-std::optional<VmAddress> parseVmAddress(std::string_view text) {
-  const auto parts = split(text.substr(0, text.find(':')), '.');
-  constexpr std::size_t octets = 4;
-  if (parts.size() != octets)
-    return std::nullopt;
-  VmAddress address = 0;
-  for (const std::string_view it : parts) {
-    const auto octet = parseNumber<std::uint8_t>(it);
-    if (!octet)
-      return std::nullopt;
-    address = (address << 8) | *octet;
-  }
-  return address;
-}
-
-std::string toText(VmAddress address, int port) {
-  return fmt::format("{}.{}.{}.{}:{}", address >> 24, (address >> 16) & 255, (address >> 8) & 255,
-                     address & 255, port);
-}
-
 } // namespace wigeonlift
--- a/Libraries/LibFleet/Fleet.h
+++ b/Libraries/LibFleet/Fleet.h
@@ -113,9 +113,4 @@
   std::size_t NearCount = 0;
 };
 
-/// Parses `IP:PORT` or `IP`; empty when the text holds no IPv4 address.
-std::optional<VmAddress> parseVmAddress(std::string_view text);
-/// The address with a port, as `IP:PORT`.
-std::string toText(VmAddress address, int port);
-
 } // namespace wigeonlift
--- a/Libraries/LibFleet/FleetMessage.h
+++ b/Libraries/LibFleet/FleetMessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibDiscovery/LibDiscovery.h>
+#include <LibFleet/VmAddress.h>
 
 #include <cstdint>
 #include <optional>
@@ -9,9 +10,6 @@
 
 namespace wigeonlift {
 
-/// An IPv4 address in host byte order. All VMs use the same ports.
-using VmAddress = std::uint32_t;
-
 /// What a VM says of itself, as others pass it on.
 struct FleetVm {
   VmAddress Ip = 0;
--- a/Libraries/LibFleet/LibFleet.h
+++ b/Libraries/LibFleet/LibFleet.h
@@ -4,3 +4,4 @@
 #include <LibFleet/Fleet.h>
 #include <LibFleet/FleetCodec.h>
 #include <LibFleet/FleetMessage.h>
+#include <LibFleet/VmAddress.h>
--- /dev/null
+++ b/Libraries/LibFleet/VmAddress.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace wigeonlift {
+
+/// An IPv4 address in host byte order. All VMs use the same ports.
+using VmAddress = std::uint32_t;
+
+/// Parses `IP:PORT` or `IP`; empty when the text holds no IPv4 address.
+std::optional<VmAddress> parseVmAddress(std::string_view text);
+/// The address with a port, as `IP:PORT`.
+std::string toText(VmAddress address, int port);
+
+} // namespace wigeonlift
