Gateway, Ctl: Say why a request was not passed on

The line of a rejected request had no reason, and explain told of a missing route also when the VM was stopping or had no configuration. Guarded by a test of explain that failed before.

--- a/Services/Ctl/Explain.cpp
+++ b/Services/Ctl/Explain.cpp
@@ -115,8 +115,8 @@
   if (last.Name == "caller_left")
     return fmt::format("the caller left after {} ms{}", last.text("took_ms"), lastFailure);
   if (last.Name == "rejected")
-    return fmt::format("rejected with {}: no route or limit of configuration {} admits it",
-                       last.text("status"), last.text("plan"));
+    return fmt::format("rejected with {} ({}) under configuration {}", last.text("status"),
+                       last.text("why"), last.text("plan"));
   if (last.Name == "refused" && last.text("run") == "not-run")
     return last.text("n") == "0"
                ? fmt::format("refused ({}) after {} ms: no upstream of {} had room in time",
--- a/Services/Gateway/CallerSession.cpp
+++ b/Services/Gateway/CallerSession.cpp
@@ -253,7 +253,7 @@
   ++Owner.counts().Rejected;
   const HttpRequestHead &request = Caller->head();
   Owner.log().didReject(headerValue(request, platform::AttemptIdHeader), request[http::field::host],
-                        request.target(), status,
+                        request.target(), status, why,
                         Owner.plans().inForce() ? Owner.plans().inForce()->plan().Version : 0);
   HttpResponseHead head = ownHead(status);
   if (retryAfter > Duration::zero())
--- a/Services/Gateway/RequestLog.cpp
+++ b/Services/Gateway/RequestLog.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+// Upstreams that are slower by more are named when a request is sent to them.
+constexpr double UsualSlowness = 1.3;
+
 std::string ms(Duration span) { return fmt::format("{:.1f}", toSeconds(span) * 1e3); }
 
 std::string leftMs(const ProxiedRequest &request, TimePoint now) {
@@ -18,7 +21,7 @@
                          const ChoiceFacts &choice) {
   // The first attempt of most requests is told with the answer.
   const bool isPlain =
-      choice.Attempt == 1 && choice.Slowness <= 1.3 && choice.Occupied < choice.Slots;
+      choice.Attempt == 1 && choice.Slowness <= UsualSlowness && choice.Occupied < choice.Slots;
   if (isPlain)
     return;
   Log.write(EventLog::Weight::Routine, choice.IsHedge ? "hedged" : "sent",
@@ -77,13 +80,14 @@
 }
 
 void RequestLog::didReject(std::string_view id, std::string_view host, std::string_view target,
-                           int status, std::uint64_t planVersion) {
+                           int status, std::string_view why, std::uint64_t planVersion) {
   constexpr std::size_t maxLoggedBytes = 80;
   Log.write(EventLog::Weight::Important, "rejected",
             {{"id", std::string{id.substr(0, maxLoggedBytes)}},
              {"host", std::string{host.substr(0, maxLoggedBytes)}},
              {"path", std::string{target.substr(0, maxLoggedBytes)}},
              {"status", fmt::format("{}", status)},
+             {"why", std::string{why}},
              {"plan", fmt::format("{}", planVersion)}});
 }
 
--- a/Services/Gateway/RequestLog.h
+++ b/Services/Gateway/RequestLog.h
@@ -18,9 +18,9 @@
                  TimePoint now);
   void didRefuse(const ProxiedRequest &request, const Failure &failure, int status, TimePoint now);
   void didLeave(const ProxiedRequest &request, TimePoint now);
-  /// A request that no route or limit admits.
+  /// A request that is not passed on: no route or limit admits it, or this VM can't take it now.
   void didReject(std::string_view id, std::string_view host, std::string_view target, int status,
-                 std::uint64_t planVersion);
+                 std::string_view why, std::uint64_t planVersion);
 
 private:
   EventLog &Log;
--- a/Tests/Ctl/TestExplain.cpp
+++ b/Tests/Ctl/TestExplain.cpp
@@ -52,6 +52,17 @@
   EXPECT_NE(Out.str().find("an upstream may have run it"), std::string::npos);
 }
 
+// Guards against a VM that had no configuration, or was stopping, and is explained as if no route
+// admitted the request.
+TEST_F(ExplainTest, TellsWhyARequestWasNotPassedOn) {
+  const std::string file = write("vm-1.log", R"({"t":6.0,"p":"vm-1","ev":"rejected","id":"jkl",)"
+                                             R"("status":503,"why":"stopping","plan":7})"
+                                             "\n");
+  EXPECT_EQ(explain("jkl", {file}), ExitCode::Ok);
+  EXPECT_NE(Out.str().find("rejected with 503 (stopping) under configuration 7"),
+            std::string::npos);
+}
+
 // Guards against lines that are left out without a word.
 TEST_F(ExplainTest, ReportsWhatItCannotRead) {
   const std::string file = write("vm-1.log", std::string{Log} + "not json\n{\"t\":1}\n");
