--- a/Libraries/LibBalance/Placement.cpp
+++ b/Libraries/LibBalance/Placement.cpp
@@ -57,9 +57,10 @@
   if (now + work(request) > request.Spec.Deadline)
     return true;
   // A caller that is told early can still come back.
-  const Duration time = request.Spec.Deadline - request.Spec.ArrivedAt;
+  const Duration allowed = request.Spec.Deadline - request.Spec.ArrivedAt;
+  const Duration waited = now - request.Spec.ArrivedAt;
   return request.Tried.empty() && isLate(request, now) &&
-         toSeconds(now - request.Spec.ArrivedAt) > LeastPatience * toSeconds(time);
+         toSeconds(waited) > LeastPatience * toSeconds(allowed);
 }
 
 std::vector<CallId> ServiceBalancer::inOrder(TimePoint now) const {
--- a/Libraries/LibDiscovery/StorePlan.h
+++ b/Libraries/LibDiscovery/StorePlan.h
@@ -24,11 +24,12 @@
 /// Decides which call to the store comes next and whether the VM counts as one that the store
 /// doesn't serve. Performs no I/O.
 ///
-/// A watch says nothing while there is nothing to say, so a silent one may be deaf: the path was
-/// cut, or the store has dropped its history. A VM that takes over as reader, or whose watch
-/// failed, therefore asks for the store's revision first, which is answered at once, and reads
-/// everything if the replica is behind. The store may have been away all the while that a watch
-/// was silent, so entries may have lapsed; that counts as a loss even if the check succeeds.
+/// A watch isn't answered while nothing changes, so a broken one can't be told from a quiet one: the
+/// path may be cut, or the store may have dropped its history. A VM that takes over as reader, or
+/// whose watch failed, therefore asks for the store's revision first, which is answered at once,
+/// and reads everything if the replica is behind. While a watch had no answer the store may have
+/// been down and entries may have lapsed, so a watch that times out counts as a loss even if the
+/// check succeeds.
 class StorePlan {
 public:
   StoreStep next(bool mustRead, TimePoint now);
@@ -52,6 +53,7 @@
 private:
   void didAnswer(TimePoint now);
 
+  /// What `next` returned last.
   StoreStep Step = StoreStep::Follow;
   bool MustReadAll = true;
   /// The store has answered since this VM began to read or since its last call failed.
