--- a/Libraries/LibDiscovery/StorePlan.h
+++ b/Libraries/LibDiscovery/StorePlan.h
@@ -24,9 +24,9 @@
 /// Decides which call to the store comes next and whether the VM counts as one that the store
 /// doesn't serve. Performs no I/O.
 ///
-/// A watch isn't answered while nothing changes, so a broken one can't be told from a quiet one: the
-/// path may be cut, or the store may have dropped its history. A VM that takes over as reader, or
-/// whose watch failed, therefore asks for the store's revision first, which is answered at once,
+/// A watch isn't answered while nothing changes, so a broken one can't be told from a quiet one:
+/// the path may be cut, or the store may have dropped its history. A VM that takes over as reader,
+/// or whose watch failed, therefore asks for the store's revision first, which is answered at once,
 /// and reads everything if the replica is behind. While a watch had no answer the store may have
 /// been down and entries may have lapsed, so a watch that times out counts as a loss even if the
 /// check succeeds.
