LibDiscovery: Take no removed entries from an older copy

Cause: a VM that starts asks a peer for its copy and reads the store.

Ruled out: removals held back as possible lapses (no VM had lost the store), and missed datagrams (the VMs had the revision).

Change: an entry that is not newer than the replica and unknown to it is skipped.

--- a/Libraries/LibDiscovery/StoreReplica.cpp
+++ b/Libraries/LibDiscovery/StoreReplica.cpp
@@ -29,6 +29,9 @@
                                                            : 0;
     if (it.Revision <= had)
       continue;
+    // All that existed at the replica's revision is known, so an older entry was removed since.
+    if (known == Items.end() && it.Revision <= AsOf)
+      continue;
     if (it.IsRemoved) {
       remove(it.Key, it.Revision);
       continue;
--- a/Tests/LibDiscovery/TestStoreReplica.cpp
+++ b/Tests/LibDiscovery/TestStoreReplica.cpp
@@ -64,6 +64,21 @@
   EXPECT_EQ(peer.items(), source.items());
 }
 
+// Guards against removed entries that an older copy of a peer brings back: a VM that had just
+// started read the store, merged a peer's copy from before the removals, and passed the result on
+// as newer than it was. On obiyama-gw-grown trouble-2 new work reached upstreams 2,606 ms after
+// they had left.
+TEST(StoreReplica, AnOlderCopyBringsNothingBack) {
+  StoreReplica replica;
+  replica.apply(delta({item("b", "2", 2)}, 12, true), Start);
+  EXPECT_TRUE(replica.apply(delta({item("a", "1", 1), item("b", "2", 2)}, 9, true), Start).empty());
+  EXPECT_EQ(replica.find("a"), nullptr);
+  StoreReplica peer;
+  peer.apply(delta({item("a", "1", 1), item("b", "2", 2)}, 9, true), Start);
+  peer.apply(replica.since(peer.revision()), Start);
+  EXPECT_EQ(peer.find("a"), nullptr);
+}
+
 // Guards against a peer that misses removals which the source has forgotten.
 TEST(StoreReplica, APeerFarBehindGetsEverything) {
   StoreReplica source;
