Gateway: Run pipelined requests concurrently and answer them in order

Cause: a caller's connection carried one request at a time. Pipelined ones lay unread, so each waited for the whole life of those before it, and a caller that left was noticed only when its unread requests had been served.

Change: LibPipeline decides, without I/O, which requests of a connection may be read, which may start and which answer closes the connection. Idempotent requests run concurrently; exports and non-idempotent ones run alone. A stop starts nothing behind the answer that closes the connection. CallerSession is split into RequestIntake, AnswerWriter and the order between them. The connection is closed only after the caller's remaining bytes have been read, since a reset may destroy the last answer. A streamed answer ends one second after the deadline, so a body without end isn't passed on for as long as the caller stays.

--- a/Libraries/LibHttp/CallerConnection.cpp
+++ b/Libraries/LibHttp/CallerConnection.cpp
@@ -5,6 +5,7 @@
 #include <LibHttp/SocketOptions.h>
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -34,6 +35,8 @@
 constexpr auto Completion = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t MaxBufferedBytes = 128 * 1024;
 constexpr std::size_t BodyStepBytes = 16 * 1024;
+// What a caller may still send behind the last response before its connection is reset.
+constexpr std::size_t MaxDiscardedBytes = 1024 * 1024;
 // Beast reads no more at once than the buffer's free capacity. This holds most requests.
 constexpr std::size_t HeadBufferBytes = 4 * 1024;
 // A caller that stops in the middle of a request, or takes nothing of its answer.
@@ -69,10 +72,9 @@
   if (Reader->Buffer.capacity() > HeadBufferBytes && Reader->Buffer.size() == 0)
     Reader->Buffer.shrink_to_fit();
   Reader->Buffer.reserve(HeadBufferBytes);
-  IsIdle = true;
+  IsBetweenRequests = true;
   DidContinue = false;
   IdleSince = bootTimeNow();
-  expectWithin(Limits.Idle);
   // Beast reports nothing before the first line is whole; a caller may stop before that.
   if (Reader->Buffer.size() == 0) {
     const auto [ec, n] =
@@ -81,14 +83,14 @@
       co_return ReadResult::Closed;
     Reader->Buffer.commit(n);
   }
-  IsIdle = false;
-  expectWithin(Limits.Head);
+  IsBetweenRequests = false;
+  ReadExpiresAt = bootTimeNow() + Limits.Head;
   while (!parser.is_header_done()) {
     const auto [ec, n] = co_await http::async_read_some(Socket, Reader->Buffer, parser, Completion);
     if (ec && !(ec == http::error::need_buffer && parser.is_header_done()))
       co_return toResult(ec);
   }
-  ExpiresAt = TimePoint::max();
+  ReadExpiresAt = TimePoint::max();
   co_return ReadResult::Complete;
 }
 
@@ -131,22 +133,47 @@
 }
 
 asio::awaitable<BodyPart> CallerConnection::readBodyPart(std::span<char> buf) {
-  expectWithin(ProgressLimit);
+  ReadExpiresAt = bootTimeNow() + ProgressLimit;
   const BodyPart part = co_await readPart(Socket, Reader->Buffer, *Reader->Request, buf);
   if (!part.IsBroken)
-    ExpiresAt = TimePoint::max();
+    ReadExpiresAt = TimePoint::max();
   co_return part;
 }
 
-asio::awaitable<bool> CallerConnection::write(HttpResponseHead head, std::string_view body) {
-  if (this->head().method() == http::verb::head || hasNoBody(head))
+asio::awaitable<bool> CallerConnection::readAhead(asio::cancellation_signal &stop) {
+  while (Reader->Buffer.size() < MaxBufferedBytes) {
+    const std::size_t most = std::min(BodyStepBytes, MaxBufferedBytes - Reader->Buffer.size());
+    const auto [ec, n] = co_await Socket.async_read_some(
+        Reader->Buffer.prepare(most),
+        asio::bind_cancellation_slot(stop.slot(), asio::as_tuple(asio::use_awaitable)));
+    Reader->Buffer.commit(n);
+    if (ec)
+      co_return ec == asio::error::operation_aborted &&Socket.is_open();
+  }
+  co_return true;
+}
+
+asio::awaitable<void> CallerConnection::discardInput() {
+  std::array<char, HeadBufferBytes> buf{};
+  std::size_t discarded = 0;
+  while (discarded < MaxDiscardedBytes) {
+    const auto [ec, n] = co_await Socket.async_read_some(asio::buffer(buf), Completion);
+    discarded += n;
+    if (ec)
+      co_return;
+  }
+}
+
+asio::awaitable<bool> CallerConnection::write(HttpResponseHead head, std::string_view body,
+                                              http::verb method) {
+  if (method == http::verb::head || hasNoBody(head))
     co_return co_await writeHead(std::move(head));
   http::response<http::span_body<const char>> response{std::move(head)};
   response.body() = {body.data(), body.size()};
   response.prepare_payload();
-  expectWithin(ProgressLimit);
+  WriteExpiresAt = bootTimeNow() + ProgressLimit;
   const auto [ec, n] = co_await http::async_write(Socket, response, Completion);
-  ExpiresAt = TimePoint::max();
+  WriteExpiresAt = TimePoint::max();
   co_return !ec;
 }
 
@@ -157,15 +184,15 @@
 asio::awaitable<bool> CallerConnection::writeHead(HttpResponseHead head) {
   http::response<http::empty_body> response{std::move(head)};
   http::response_serializer<http::empty_body> serializer{response};
-  expectWithin(ProgressLimit);
+  WriteExpiresAt = bootTimeNow() + ProgressLimit;
   const auto [ec, n] = co_await http::async_write_header(Socket, serializer, Completion);
-  ExpiresAt = TimePoint::max();
+  WriteExpiresAt = TimePoint::max();
   co_return !ec;
 }
 
 asio::awaitable<bool> CallerConnection::writePart(std::string_view part, bool isChunked) {
   const asio::const_buffer data{part.data(), part.size()};
-  expectWithin(ProgressLimit);
+  WriteExpiresAt = bootTimeNow() + ProgressLimit;
   boost::system::error_code result;
   if (isChunked) {
     const auto [ec, n] = co_await asio::async_write(Socket, http::make_chunk(data), Completion);
@@ -174,7 +201,7 @@
     const auto [ec, n] = co_await asio::async_write(Socket, data, Completion);
     result = ec;
   }
-  ExpiresAt = TimePoint::max();
+  WriteExpiresAt = TimePoint::max();
   co_return !result;
 }
 
@@ -201,8 +228,27 @@
   Socket.cancel(ec);
 }
 
+void CallerConnection::setUnanswered(std::size_t count, TimePoint now) {
+  Unanswered = count;
+  if (count == 0)
+    IdleSince = now;
+}
+
+TimePoint CallerConnection::expiresAt() const {
+  // A caller that stops within a request still gets the answers to those before it.
+  if (Unanswered > 0)
+    return WriteExpiresAt;
+  return std::min(IsBetweenRequests ? IdleSince + Limits.Idle : ReadExpiresAt, WriteExpiresAt);
+}
+
 bool CallerConnection::isIdleSince(TimePoint time) {
-  return IsIdle && IdleSince < time && Reader->Buffer.size() == 0 && !hasPendingInput(Socket);
+  return IsBetweenRequests && Unanswered == 0 && IdleSince < time && Reader->Buffer.size() == 0 &&
+         !hasPendingInput(Socket);
+}
+
+void CallerConnection::closeSending() {
+  boost::system::error_code ec;
+  Socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
 }
 
 void CallerConnection::close() {
@@ -210,6 +256,4 @@
   Socket.close(ec);
 }
 
-void CallerConnection::expectWithin(Duration span) { ExpiresAt = bootTimeNow() + span; }
-
 } // namespace wigeonlift
--- a/Libraries/LibHttp/CallerConnection.h
+++ b/Libraries/LibHttp/CallerConnection.h
@@ -5,6 +5,7 @@
 #include <LibHttp/HttpMessage.h>
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstddef>
@@ -35,8 +36,9 @@
   Duration Head = std::chrono::seconds{30};
 };
 
-/// A server connection to one caller. It carries one request at a time: pipelined requests wait
-/// unread. Every member is used on one thread; `close` makes pending operations fail.
+/// A server connection to one caller. Requests are read one after the other; the next may be read
+/// while earlier ones are unanswered. At most one coroutine reads and at most one writes. Every
+/// member is used on one thread; `close` makes pending operations fail.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
 public:
   explicit CallerConnection(boost::asio::ip::tcp::socket socket);
@@ -65,9 +67,17 @@
   /// Reads the next part of the body into the buffer.
   boost::asio::awaitable<BodyPart> readBodyPart(std::span<char> buf);
 
-  /// Writes a whole response and sets its Content-Length. For a HEAD request, or a status without a
-  /// body, the body is empty and the head keeps its fields.
-  boost::asio::awaitable<bool> write(HttpResponseHead head, std::string_view body);
+  /// Reads bytes of later requests into the buffer until it is full or `stop` is emitted, so that
+  /// a close by the caller is noticed while its requests are not parsed. False when it has closed.
+  boost::asio::awaitable<bool> readAhead(boost::asio::cancellation_signal &stop);
+  /// Reads and drops what the caller still sends, up to a limit, until it closes. A connection that
+  /// is closed with unread bytes is reset, and the caller may lose the last response.
+  boost::asio::awaitable<void> discardInput();
+
+  /// Writes a whole response and sets its Content-Length. For a status without a body, or when the
+  /// method of the request is HEAD, the body is empty and the head keeps its fields.
+  boost::asio::awaitable<bool> write(HttpResponseHead head, std::string_view body,
+                                     boost::beast::http::verb method);
   /// Whether responses with that status never have a body, whatever their fields say.
   static bool hasNoBody(const HttpResponseHead &head);
   /// Writes the head of a response whose body follows in parts.
@@ -79,25 +89,31 @@
   /// Calls back once when the caller closes the connection while its request is in progress.
   void watchForClose(std::function<void()> onClose);
   void stopWatching();
+  /// Tells the number of requests that were read and not yet answered. The connection is idle only
+  /// when there are none.
+  void setUnanswered(std::size_t count, TimePoint now);
+  /// Ends the responses; the caller's bytes can still be read.
+  void closeSending();
   void close();
   bool isOpen() const { return Socket.is_open(); }
   /// Whether the connection has waited for a request since before that time.
   bool isIdleSince(TimePoint time);
-  /// When the pending operation counts as timed out, or, of an idle connection, the idle time.
-  TimePoint expiresAt() const { return ExpiresAt; }
+  /// When a pending operation counts as timed out, or, of an idle connection, the idle time.
+  TimePoint expiresAt() const;
 
 private:
   struct Parser;
 
-  void expectWithin(Duration span);
-
   boost::asio::ip::tcp::socket Socket;
   std::unique_ptr<Parser> Reader;
   std::function<void()> OnClose;
   ConnectionLimits Limits;
-  TimePoint ExpiresAt = TimePoint::max();
+  TimePoint ReadExpiresAt = TimePoint::max();
+  TimePoint WriteExpiresAt = TimePoint::max();
   TimePoint IdleSince{};
-  bool IsIdle = true;
+  std::size_t Unanswered = 0;
+  /// No byte of the next request has arrived.
+  bool IsBetweenRequests = true;
   bool DidContinue = false;
 };
 
--- /dev/null
+++ b/Libraries/LibPipeline/LibPipeline.h
@@ -0,0 +1,3 @@
+#pragma once
+
+#include <LibPipeline/RequestPipeline.h>
--- a/Services/Entry/CallerSession.cpp
+++ b/Services/Entry/CallerSession.cpp
@@ -151,7 +151,7 @@
   Caller->stopWatching();
   if (closesAfterAnswer())
     head.set(http::field::connection, "close");
-  const bool isWritten = co_await Caller->write(std::move(head), body);
+  const bool isWritten = co_await Caller->write(std::move(head), body, Caller->head().method());
   co_return isWritten && !closesAfterAnswer();
 }
 
--- a/Services/Entry/ResponseRelay.cpp
+++ b/Services/Entry/ResponseRelay.cpp
@@ -80,7 +80,7 @@
   HasHead = true;
   const bool isBodyless = Owner->isHeadRequest() || CallerConnection::hasNoBody(Head);
   if (part.IsLast && !isBodyless)
-    co_return co_await Caller->write(Head, {Buffer.data(), part.Size});
+    co_return co_await Caller->write(Head, {Buffer.data(), part.Size}, Caller->head().method());
   IsChunked = !isBodyless && Head.count(http::field::content_length) == 0;
   if (IsChunked)
     Head.set(http::field::transfer_encoding, "chunked");
--- a/Services/Entry/TicketForward.cpp
+++ b/Services/Entry/TicketForward.cpp
@@ -29,7 +29,7 @@
     co_return ForwardEnd::NoAnswer;
   if (part.IsLast) {
     const std::string_view body{buf.data(), part.Size};
-    const bool isWritten = co_await caller->write(std::move(head), body);
+    const bool isWritten = co_await caller->write(std::move(head), body, caller->head().method());
     co_return isWritten ? ForwardEnd::Complete : ForwardEnd::Broken;
   }
   const bool isChunked = head.count(http::field::content_length) == 0;
--- /dev/null
+++ b/Services/Gateway/AnswerWriter.cpp
@@ -0,0 +1,109 @@
+#include "AnswerWriter.h"
+
+#include "ConnectionGuard.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+#include <vector>
+
+namespace wigeonlift {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr std::size_t RelayBytes = 64 * 1024;
+constexpr int BadGateway = 502;
+constexpr int Unavailable = 503;
+constexpr int GatewayTimeout = 504;
+
+/// Only a request that was certainly not run gets a status that says so.
+int statusOf(const Failure &failure) {
+  if (failure.Executed == Execution::NotRun)
+    return Unavailable;
+  return failure.Kind == FailureKind::DeadlineExceeded ? GatewayTimeout : BadGateway;
+}
+
+void setClose(HttpResponseHead &head, AfterAnswer after) {
+  if (after == AfterAnswer::Close)
+    head.set(http::field::connection, "close");
+}
+
+} // namespace
+
+asio::awaitable<bool> AnswerWriter::write(const PendingRequest &pending, RequestOutcome outcome,
+                                          AfterAnswer after) {
+  if (const auto *failure = std::get_if<Failure>(&outcome))
+    co_return co_await refuse(pending, *failure, after);
+  ++Owner.counts().Relayed;
+  Owner.counts().Latency.record(bootTimeNow() - pending.Request->Spec.ArrivedAt);
+  if (auto *whole = std::get_if<WholeAnswer>(&outcome))
+    co_return co_await relay(pending, std::move(*whole), after);
+  co_return co_await relay(pending, std::move(std::get<OpenAnswer>(outcome)), after);
+}
+
+asio::awaitable<bool> AnswerWriter::write(const PendingRequest &pending, const Rejection &rejection,
+                                          AfterAnswer after) {
+  co_return co_await writeOwn(pending, rejection, after);
+}
+
+asio::awaitable<bool> AnswerWriter::relay(const PendingRequest &pending, WholeAnswer whole,
+                                          AfterAnswer after) {
+  setClose(whole.Head, after);
+  co_return co_await Caller.write(std::move(whole.Head), whole.Body, pending.Method);
+}
+
+asio::awaitable<bool> AnswerWriter::relay(const PendingRequest &pending, OpenAnswer open,
+                                          AfterAnswer after) {
+  const bool isChunked = open.Head.find(http::field::content_length) == open.Head.end();
+  if (isChunked)
+    open.Head.set(http::field::transfer_encoding, "chunked");
+  setClose(open.Head, after);
+  bool isWritten = co_await Caller.writeHead(std::move(open.Head)) &&
+                   co_await Caller.writePart(open.Begun, isChunked);
+  const auto connection = open.Connection->share();
+  const TimePoint end = pending.Request->Spec.Deadline + ProxiedRequest::LateAnswerSpan;
+  const ConnectionGuard guard{co_await asio::this_coro::executor, connection, end - bootTimeNow()};
+  std::vector<char> buf(RelayBytes);
+  BodyPart part;
+  while (isWritten && !part.IsLast) {
+    part = co_await connection->readBody(buf);
+    if (part.IsBroken) {
+      // The connection ends before the announced end, so the answer can't look complete.
+      ++Owner.counts().BrokenAnswers;
+      co_return false;
+    }
+    isWritten = part.Size == 0 || co_await Caller.writePart({buf.data(), part.Size}, isChunked);
+  }
+  if (isWritten && isChunked)
+    isWritten = co_await Caller.writeLastChunk();
+  if (isWritten)
+    open.Connection->giveBack();
+  co_return isWritten;
+}
+
+asio::awaitable<bool> AnswerWriter::refuse(const PendingRequest &pending, const Failure &failure,
+                                           AfterAnswer after) {
+  const int status = statusOf(failure);
+  ++(status == Unavailable ? Owner.counts().Refused : Owner.counts().Failed);
+  Owner.log().didRefuse(*pending.Request, failure, status, bootTimeNow());
+  const Duration retryAfter = status == Unavailable ? failure.RetryAfter : Duration::zero();
+  co_return co_await writeOwn(pending, {status, toString(failure.Kind), retryAfter}, after);
+}
+
+asio::awaitable<bool> AnswerWriter::writeOwn(const PendingRequest &pending, const Rejection &answer,
+                                             AfterAnswer after) {
+  HttpResponseHead head;
+  head.version(11);
+  head.result(static_cast<unsigned>(answer.Status));
+  head.set(http::field::content_type, "application/json");
+  if (answer.RetryAfter > Duration::zero())
+    head.set(http::field::retry_after, fmt::format("{:.3f}", toSeconds(answer.RetryAfter)));
+  setClose(head, after);
+  co_return co_await Caller.write(std::move(head), fmt::format("{{\"error\":\"{}\"}}", answer.Why),
+                                  pending.Method);
+}
+
+} // namespace wigeonlift
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -33,7 +33,8 @@
 Gateway::Gateway(boost::asio::io_context &context, const GatewaySettings &settings, EventLog &log,
                  std::uint64_t seed)
     : Context(context), Settings(settings), Log(log), Requests(log), Seed(seed), Rng(seed),
-      Bodies(bodyLimit(settings)), LapseTimer(context), MaintainedAt(bootTimeNow()) {}
+      Bodies(bodyLimit(settings)), HeldAnswers(bodyLimit(settings)), LapseTimer(context),
+      MaintainedAt(bootTimeNow()) {}
 
 void Gateway::didLearn(std::span<const StoreItem> changes, std::string_view source,
                        RemovalKind removals) {
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -65,6 +65,8 @@
   RequestLog &log() { return Requests; }
   GatewayCounts &counts() { return Counts; }
   BodyMemory &bodyMemory() { return Bodies; }
+  /// Memory for answers that wait behind others on their connections.
+  BodyMemory &heldAnswerMemory() { return HeldAnswers; }
   boost::asio::io_context &context() { return Context; }
   const std::map<std::string, std::shared_ptr<ServiceTask>> &services() const { return Services; }
   const UpstreamList &upstreams() const { return Upstreams; }
@@ -93,6 +95,7 @@
   std::map<std::string, std::uint32_t, std::less<>> Kinds;
   GatewayCounts Counts;
   BodyMemory Bodies;
+  BodyMemory HeldAnswers;
   std::uint64_t LastCall = 0;
   double BudgetShare = 0.05;
   StopPlan Stop;
--- a/Services/Gateway/ProxiedRequest.cpp
+++ b/Services/Gateway/ProxiedRequest.cpp
@@ -21,6 +21,15 @@
   Event.cancel();
 }
 
+std::size_t ProxiedRequest::heldBytes() const {
+  if (!Outcome)
+    return 0;
+  if (const auto *whole = std::get_if<WholeAnswer>(&*Outcome))
+    return whole->Body.size();
+  const auto *open = std::get_if<OpenAnswer>(&*Outcome);
+  return open ? open->Begun.size() : 0;
+}
+
 asio::awaitable<RequestOutcome> ProxiedRequest::nextOutcome() {
   while (!Outcome)
     co_await Event.async_wait(asio::as_tuple(asio::use_awaitable));
--- a/Services/Gateway/ProxiedRequest.h
+++ b/Services/Gateway/ProxiedRequest.h
@@ -34,12 +34,17 @@
 /// A request on its way through this VM, shared by the caller's session and the attempts.
 class ProxiedRequest {
 public:
+  /// How long after its deadline a request's answer is read and passed on.
+  static constexpr Duration LateAnswerSpan = std::chrono::seconds{1};
+
   ProxiedRequest(const boost::asio::any_io_executor &executor, RequestSpec spec,
                  HttpRequestHead head, std::string body);
 
   /// The first outcome counts; later ones are dropped.
   void deliver(RequestOutcome outcome);
   bool isDecided() const { return Outcome.has_value(); }
+  /// Bytes of the answer that wait to be taken.
+  std::size_t heldBytes() const;
   boost::asio::awaitable<RequestOutcome> nextOutcome();
 
   RequestSpec Spec;
@@ -49,6 +54,8 @@
   std::string CallerAttempt;
   std::string Route;
   std::string Service;
+  /// Bytes of the answer that are held until it is whole. The rest of a larger one is streamed.
+  std::size_t MaxHeldBytes = std::size_t{2} * 1024 * 1024;
   int Attempts = 0;
   TimePoint LastSentAt{};
 
--- a/Services/Gateway/UpstreamExchange.cpp
+++ b/Services/Gateway/UpstreamExchange.cpp
@@ -1,5 +1,7 @@
 #include "UpstreamExchange.h"
 
+#include "ConnectionGuard.h"
+
 #include <platform/Platform.h>
 
 #include <fmt/format.h>
@@ -15,8 +17,8 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
-// Answers up to this size are held back until they are whole, so that a broken one can be repeated.
-constexpr std::size_t MaxHeldBytes = 2 * 1024 * 1024;
+// Bodies of health answers and of answers to earlier requests, which nobody gets.
+constexpr std::size_t MaxDroppedBytes = 2 * 1024 * 1024;
 constexpr std::size_t FirstReadBytes = 4 * 1024;
 constexpr std::size_t ReadBytes = 64 * 1024;
 constexpr int FirstFailureStatus = 300;
@@ -27,8 +29,6 @@
 // Lets the upstream's own answer arrive before the caller's deadline.
 constexpr Duration DeadlineMargin = std::chrono::milliseconds{10};
 
-// How long after the deadline the answer to work that was not interrupted is read.
-constexpr Duration LateAnswerSpan = std::chrono::seconds{1};
 constexpr Duration ProbeSpan = std::chrono::milliseconds{500};
 
 enum class BodyEnd : std::uint8_t { Whole, Broken, TooLarge };
@@ -45,9 +45,10 @@
   return head;
 }
 
-asio::awaitable<BodyEnd> readBody(UpstreamConnection &connection, std::string &body) {
+asio::awaitable<BodyEnd> readBody(UpstreamConnection &connection, std::string &body,
+                                  std::size_t limit) {
   std::size_t step = FirstReadBytes;
-  while (body.size() < MaxHeldBytes) {
+  while (body.size() < limit) {
     const std::size_t had = body.size();
     body.resize(had + step);
     const BodyPart part = co_await connection.readBody({body.data() + had, step});
@@ -79,7 +80,7 @@
       co_return head;
     sawForeign = true;
     std::string dropped;
-    if (co_await readBody(connection, dropped) != BodyEnd::Whole)
+    if (co_await readBody(connection, dropped, MaxDroppedBytes) != BodyEnd::Whole)
       co_return nullptr;
   }
   co_return nullptr;
@@ -119,22 +120,6 @@
   return fmt::format("status {}", head.result_int());
 }
 
-/// Closes a connection at an instant, so that nothing waits for a silent upstream without end.
-class ConnectionGuard {
-public:
-  ConnectionGuard(const asio::any_io_executor &executor,
-                  std::shared_ptr<UpstreamConnection> connection, Duration span)
-      : Timer(executor, span) {
-    Timer.async_wait([connection = std::move(connection)](const boost::system::error_code &ec) {
-      if (!ec)
-        connection->close();
-    });
-  }
-
-private:
-  asio::steady_timer Timer;
-};
-
 /// Reads and judges the answer. The connection goes back to the pool when all of it was the answer.
 asio::awaitable<void> readAnswer(std::shared_ptr<ServiceTask> service,
                                  std::shared_ptr<RunningAttempt> attempt) {
@@ -148,7 +133,7 @@
     co_return service->attemptFailed(*attempt, AttemptStage::Sent,
                                      sawForeign ? "foreign answer, then none" : "no answer");
   std::string body;
-  const BodyEnd end = co_await readBody(*connection, body);
+  const BodyEnd end = co_await readBody(*connection, body, request->MaxHeldBytes);
   if (attempt->IsAbandoned)
     co_return;
   const ResponseKind kind = kindOf(*head, *request, end);
@@ -193,7 +178,7 @@
   const auto connection = attempt->Connection->share();
   const TimePoint now = bootTimeNow();
   const ConnectionGuard guard{co_await asio::this_coro::executor, connection,
-                              request->Spec.Deadline - now + LateAnswerSpan};
+                              request->Spec.Deadline - now + ProxiedRequest::LateAnswerSpan};
   const HttpRequestHead head = headFor(*attempt, now);
   const bool isWritten = co_await connection->write(head, request->Body);
   if (attempt->IsAbandoned)
@@ -224,7 +209,7 @@
   const bool isSame = headerValue(*head, platform::UpstreamIdHeader) == upstream->Record.Id;
   const auto load = platform::parseLoadReport(headerValue(*head, platform::UpstreamLoadHeader));
   std::string body;
-  const BodyEnd end = co_await readBody(*connection, body);
+  const BodyEnd end = co_await readBody(*connection, body, MaxDroppedBytes);
   if (!isSame || !load || end != BodyEnd::Whole)
     co_return service->probeFailed(probe);
   lease.giveBack();
--- a/Tests/Support/FakeUpstream.cpp
+++ b/Tests/Support/FakeUpstream.cpp
@@ -71,6 +71,8 @@
     Requests.push_back(std::exchange(buf, {}));
     const FakeReply reply = Answer(Requests.back());
     co_await Gate.async_wait(Completion);
+    if (reply.Delay.count() > 0)
+      co_await asio::steady_timer{socket.get_executor(), reply.Delay}.async_wait(Completion);
     const auto [writeEc, written] =
         co_await asio::async_write(socket, asio::buffer(reply.Bytes), Completion);
     if (writeEc)
--- a/Tests/Support/FakeUpstream.h
+++ b/Tests/Support/FakeUpstream.h
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <chrono>
 #include <functional>
 #include <string>
 #include <vector>
@@ -16,6 +17,8 @@
   std::string Bytes;
   /// Closes the connection after the bytes.
   bool Closes = false;
+  /// Time until the bytes are sent.
+  std::chrono::milliseconds Delay{};
 };
 
 /// An upstream whose answers are written by the test, byte by byte. An empty answer leaves the
