LibBalance: Use the last slots of upstreams in overload where that adds throughput

Cause: a fifth of an upstream's slots stays free because a nearly full upstream is slower. Of two slots that leaves one, although two slower ones finish more requests per second than one. In overload such a service refused requests that its free slots could have answered in time.

Change: the slots above the soft limit are used, by requests that still meet their objective there, if all slots together do more work per second than those up to the soft limit.

Upstreams with three slots are used as before.

--- a/Libraries/LibBalance/Placement.cpp
+++ b/Libraries/LibBalance/Placement.cpp
@@ -25,8 +25,6 @@
 // Upstreams respond to probes within a round trip. A request does not wait longer than this for
 // the remaining responses of a round.
 constexpr Duration MaxProbeWait = std::chrono::milliseconds{6};
-// Factor by which work takes longer at an upstream that has reached its soft slot limit.
-constexpr double OverSoftLimitFactor = 1.7;
 // A candidate is good when its cost is at most this multiple of the work time, plus `RemoteCost`.
 constexpr double GoodCostFactor = 1.3;
 // Round trip to another data centre.
@@ -159,8 +157,7 @@
                                                                          TimePoint now) {
   std::optional<Candidate> result;
   for (auto &[index, view] : Upstreams) {
-    // Using the last slots would slow down all requests at the upstream, and thereby the service.
-    const bool hasRoom = view.outstandingRequests() < view.softSlotLimit();
+    const bool hasRoom = view.outstandingRequests() < view.bestSlotLimit();
     if (!hasRoom || !view.isFresh(now) || !isEligible(view, request, now))
       continue;
     const Candidate it = evaluate(view, request, now);
@@ -183,7 +180,7 @@
   const int outstandingRequests = view.outstandingRequests();
   double expected = toSeconds(workTime(request)) * slowness;
   if (outstandingRequests >= view.softSlotLimit())
-    expected *= OverSoftLimitFactor;
+    expected *= UpstreamView::OverSoftLimitFactor;
   if (outstandingRequests >= view.slots())
     expected *= 1.0 + (outstandingRequests - view.slots() + 1.0) / view.slots();
   const bool isNonIdempotent = request.Spec.Class == CallClass::NonIdempotent;
--- a/Libraries/LibBalance/UpstreamView.cpp
+++ b/Libraries/LibBalance/UpstreamView.cpp
@@ -72,6 +72,11 @@
   return std::max(1, static_cast<int>(std::floor(SoftLimitFraction * slots())));
 }
 
+int UpstreamView::bestSlotLimit() const {
+  const int soft = softSlotLimit();
+  return slots() > OverSoftLimitFactor * soft ? slots() : soft;
+}
+
 double UpstreamView::slowness(TimePoint now, double typical) const {
   const double warmup = now < Info.WarmupEndsAt ? WarmupSlowness : 1.0;
   if (!HasReport)
--- a/Libraries/LibBalance/UpstreamView.h
+++ b/Libraries/LibBalance/UpstreamView.h
@@ -33,8 +33,13 @@
   /// report.
   int outstandingRequests() const;
   int slots() const { return HasReport && Report.Slots > 0 ? Report.Slots : Info.Slots; }
+  /// Factor by which work takes longer while more slots than the soft limit are in use.
+  static constexpr double OverSoftLimitFactor = 1.7;
   /// Number of slots that can be in use before the upstream slows down.
   int softSlotLimit() const;
+  /// Number of slots with which the upstream does the most work per second. The slots above the
+  /// soft limit count only if they add more than the slowdown takes away.
+  int bestSlotLimit() const;
   /// Estimated factor by which work currently takes longer than usual. Moves from the reported
   /// value to `typical` as the report ages.
   double slowness(TimePoint now, double typical) const;
--- a/Tests/LibBalance/TestChoice.cpp
+++ b/Tests/LibBalance/TestChoice.cpp
@@ -46,6 +46,22 @@
     EXPECT_EQ(it.firstSendOf(it.arrive()).Upstream, Harness::index(2));
 }
 
+// Overload of upstreams with few slots. Guards against refusing requests that could finish on time
+// in the last slot, where using it lets the upstream finish more requests per second than leaving
+// it free, and against using it where it does not.
+TEST(Choice, UsesTheLastSlotInOverloadWhereThatAddsThroughput) {
+  for (const int slots : {2, 3}) {
+    Harness it{4};
+    it.learnWorkTime();
+    for (auto &[index, load] : it.Loads)
+      load = {.InFlight = slots - 1, .Slots = slots};
+    it.advance(std::chrono::milliseconds{50});
+    const CallId id = it.arrive();
+    it.advance(std::chrono::milliseconds{40});
+    EXPECT_EQ(it.sendsOf(id).size(), slots == 2 ? 1U : 0U) << slots;
+  }
+}
+
 // Traffic between data centres is expensive. Guards against using an upstream in another data
 // centre while a local one is as good.
 TEST(Choice, PrefersLocalUpstreams) {
