Gateway: Believe a rejection only if it names the request

Cause: health checks and requests share connections. A late second copy of a rejection that a health check got carries no attempt id; where it arrived as the answer to a write, the write counted as not run, was sent again and was then refused with 503 although both had run.

Change: only an answer that echoes the request's id proves that it was not run.

Result: the new test saw two executions and 503, and now sees one and 502.

--- a/Services/Gateway/UpstreamExchange.cpp
+++ b/Services/Gateway/UpstreamExchange.cpp
@@ -75,7 +75,7 @@
     const auto *head = co_await connection.readHead(isHead, OpenEnd::Allowed);
     if (!head || isOwnAnswer(*head, request))
       co_return head;
-    // Rejections of a request that could not be read carry no id.
+    // Rejections of a request that could not be read carry no id. They prove nothing.
     if (head->find(platform::AttemptIdHeader) == head->end())
       co_return head;
     sawForeign = true;
@@ -88,11 +88,13 @@
 
 ResponseKind kindOf(const HttpResponseHead &head, const ProxiedRequest &request, BodyEnd end) {
   const int status = static_cast<int>(head.result_int());
-  if (head.find(platform::NotExecutedHeader) != head.end() || status == Misdirected)
+  // A rejection without the request's id may be the late copy of one that a health check got.
+  const bool isOwn = isOwnAnswer(head, request);
+  if (isOwn && (head.find(platform::NotExecutedHeader) != head.end() || status == Misdirected))
     return ResponseKind::NotRun;
   const bool isSealed = !headerValue(head, platform::SealHeader).empty();
   const bool isEncoded = head.find(http::field::content_encoding) != head.end();
-  if (!isSealed || isEncoded || !isOwnAnswer(head, request) || end == BodyEnd::Broken)
+  if (!isSealed || isEncoded || !isOwn || end == BodyEnd::Broken)
     return ResponseKind::Invalid;
   return status >= FirstSuccessStatus && status < FirstFailureStatus
              ? ResponseKind::Success
--- a/Tests/Gateway/TestDataPath.cpp
+++ b/Tests/Gateway/TestDataPath.cpp
@@ -86,6 +86,22 @@
   runUntil([&] { return upstream.closedConnections() > 0; });
 }
 
+// Guards against a promotion that runs twice, or is said not to have run, because a late second
+// copy of the rejection of a health check arrives where its answer is due.
+TEST_F(GatewayFixture, ARejectionWithoutTheRequestsIdProvesNothing) {
+  const auto rejectsEarlierCheck = [](const std::string &attemptId) -> FakeReply {
+    return {fmt::format("HTTP/1.1 503 X\r\nContent-Length: 0\r\n{}: full\r\n\r\n",
+                        platform::NotExecutedHeader) +
+            sealedAnswer(attemptId, "done")};
+  };
+  PlatformUpstream first{Context, "i-1", rejectsEarlierCheck};
+  PlatformUpstream second{Context, "i-2", rejectsEarlierCheck};
+  configure({&first, &second});
+  const auto caller = ask(callerRequest("POST", "/record/1", "attempt-1", "a belt"));
+  EXPECT_EQ(statusOf(*caller), 502);
+  EXPECT_EQ(first.requests().size() + second.requests().size(), 1U);
+}
+
 // Guards against a success without the upstream's seal, and against a success made of a failure.
 TEST_F(GatewayFixture, AnAnswerWithoutSealIsNoSuccess) {
   PlatformUpstream upstream{Context, "i-1", [](const std::string &attemptId) -> FakeReply {
