Soak: Send pipelined requests and judge what stands behind a close

Cause: the soak's callers sent one request at a time, so nothing showed whether a stop passes requests on behind the answer that closes their connection.

Change: three in ten idempotent requests are sent two to five deep, drawn from a generator of their own so that the seeds' other draws stay. A request that ran behind a closing answer of a graceful stop breaks the promise; a planted fault shows that the judge sees it.

--- a/Meta/soak/callers.py
+++ b/Meta/soak/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 import uuid
 
 from . import wire
@@ -10,6 +11,9 @@
 CONNECT_TIMEOUT_S = 1.0
 DIRECTORY_TIMEOUT_S = 1.0
 LOSS_SLACK_S = 0.2
+# Requests that are sent before the answers to earlier ones, as a share of the idempotent ones.
+PIPELINED_SHARE = 0.3
+MAX_DEPTH = 5
 HOST = "shop.example"
 # Kind, prefix of the route, deadline, share of the requests, bytes of the answer.
 KINDS = (("safe", "/look/", 1.5, 0.6, 1500), ("unsafe", "/record/", 2.0, 0.3, 3000), ("download", "/bulk/", 1.5, 0.1, 90000))
@@ -19,6 +23,8 @@
     def __init__(self, fleet, zone, judge, rng):
         self.fleet, self.zone, self.judge, self.rng = fleet, zone, judge, rng
         self.addresses, self.valid_until = [], 0.0
+        # Draws of its own, so that the other draws of a seed stay the same.
+        self.pipelining = random.Random(f"pipelining {zone}")
         # Open connections by address; a caller goes on using them until they end.
         self.open = {}
 
@@ -52,47 +58,64 @@
                 continue
 
     async def request(self, kind):
+        """Sends a request, or several at once where they may run more than once, and judges the answers."""
         await self.resolve()
         if not self.addresses:
             return
-        name, prefix, deadline_s, _, size = kind
-        attempt = uuid.UUID(int=self.rng.getrandbits(128)).hex[:16]
-        body = f"order {attempt}".encode() if name == "unsafe" else b""
-        target = f"{prefix}{attempt}?bytes={size}"
         address = self.rng.choice(self.addresses)
         try:
             reader, writer = await self.connection(address)
         except (OSError, asyncio.TimeoutError):
             self.judge.outcomes["no connection"] += 1
             return
-        self.judge.did_send(attempt, name, target, body)
-        message = wire.request("POST" if name == "unsafe" else "GET", target, HOST,
-                               {"X-Wigeonlift-Attempt-Id": attempt,
-                                "X-Wigeonlift-Deadline-Remaining": str(int(deadline_s * 1000))}, body)
+        is_pipelined = kind[0] == "safe" and self.pipelining.random() < PIPELINED_SHARE
+        attempts = [self.send(kind, writer) for _ in range(self.pipelining.randint(2, MAX_DEPTH) if is_pipelined else 1)]
         vm = self.fleet.by_address(address)
+        while attempts:
+            answer = await self.answer_to(attempts[0], kind, reader, vm)
+            if answer is None:
+                return writer.close()
+            del attempts[0]
+            if answer.get("connection").lower() == "close":
+                # What was sent behind it counts as not read, so it must not have been passed on.
+                for attempt in attempts:
+                    self.judge.did_drop(attempt, vm.is_stopping_gracefully())
+                return writer.close()
+        if self.rng.random() < 0.5:
+            self.open[address] = (reader, writer)
+        else:
+            writer.close()
+
+    def send(self, kind, writer):
+        name, prefix, deadline_s, _, size = kind
+        attempt = uuid.UUID(int=self.rng.getrandbits(128)).hex[:16]
+        body = f"order {attempt}".encode() if name == "unsafe" else b""
+        target = f"{prefix}{attempt}?bytes={size}"
+        self.judge.did_send(attempt, name, target, body)
+        writer.write(wire.request("POST" if name == "unsafe" else "GET", target, HOST,
+                                  {"X-Wigeonlift-Attempt-Id": attempt,
+                                   "X-Wigeonlift-Deadline-Remaining": str(int(deadline_s * 1000))}, body))
+        return attempt
+
+    async def answer_to(self, attempt, kind, reader, vm):
+        """The answer that is due next; None when the connection can't be used any more."""
         sent = asyncio.get_running_loop().time()
         try:
-            writer.write(message)
-            answer = await asyncio.wait_for(wire.read_message(reader), deadline_s)
+            answer = await asyncio.wait_for(wire.read_message(reader), kind[2])
         except asyncio.TimeoutError:
             self.judge.outcomes["deadline"] += 1
-            return writer.close()
+            return None
         except (OSError, asyncio.IncompleteReadError):
             self.judge.did_break(attempt, vm.is_stopping_gracefully())
-            return writer.close()
+            return None
         if answer is None:
             # A close that crosses the request is allowed for a moment only.
             if asyncio.get_running_loop().time() - sent > LOSS_SLACK_S:
                 self.judge.did_break(attempt, vm.is_stopping_gracefully())
             self.judge.outcomes["closed"] += 1
-            return writer.close()
-        self.did_answer(attempt, answer, size)
-        if answer.get("connection").lower() == "close":
-            writer.close()
-        elif self.rng.random() < 0.5:
-            self.open[address] = (reader, writer)
-        else:
-            writer.close()
+            return None
+        self.did_answer(attempt, answer, kind[4])
+        return answer
 
     def did_answer(self, attempt, answer, size):
         status = int(answer.first[1])
--- a/Meta/soak/judge.py
+++ b/Meta/soak/judge.py
@@ -68,6 +68,12 @@
             if self.runs[attempt] and kind == "unsafe":
                 self.broke("not-run-is-true", f"{attempt} ran and was refused with {status}")
 
+    def did_drop(self, attempt, is_planned_stop):
+        """A request was sent behind an answer that closed its connection."""
+        self.outcomes["behind a close"] += 1
+        if self.runs[attempt] and is_planned_stop:
+            self.broke("graceful-stop", f"{attempt} ran behind an answer that closed its connection")
+
     def did_break(self, attempt, is_planned_stop):
         self.outcomes["broken"] += 1
         if is_planned_stop and not self.is_disturbed(time.monotonic() - 3, time.monotonic()):
--- a/Meta/soak/planted.py
+++ b/Meta/soak/planted.py
@@ -49,6 +49,10 @@
     it.did_break("x", True)
     yield "graceful-stop", it
     it = judge()
+    it.did_run("x", Place, message())
+    it.did_drop("x", True)
+    yield "graceful-stop", it
+    it = judge()
     for _ in range(60):
         it.did_run("x", Place, message())
     it.check_budget()
