LibBalance: Estimate unknown work times from the route's objective

Cause: before its first answers a VM estimates the work of a request as a part of the time between its arrival and its objective. For a caller who had waited before, that time is short or negative.

Change: a request carries its route's latency objective, and the first estimate is a part of that.

--- a/Libraries/LibBalance/BalanceTypes.h
+++ b/Libraries/LibBalance/BalanceTypes.h
@@ -27,7 +27,10 @@
   /// Groups requests that take about the same time. The I/O layer chooses the number.
   std::uint32_t Kind = 0;
   TimePoint ArrivedAt{};
-  /// Latency objective: a response that leaves by then is on time.
+  /// Latency objective of the route, from the first attempt of the caller.
+  Duration TargetLatency{};
+  /// A response that leaves by then is on time. Already past at the arrival of a request whose
+  /// caller has waited for longer than the objective.
   TimePoint Objective{};
   /// The final response must leave by then, even if it is a failure.
   TimePoint Deadline{};
--- a/Libraries/LibBalance/Placement.cpp
+++ b/Libraries/LibBalance/Placement.cpp
@@ -55,7 +55,7 @@
 } // namespace
 
 Duration ServiceBalancer::workTime(const Request &request) const {
-  return WorkTimes.workTime(request.Spec.Kind, request.Spec.Objective - request.Spec.ArrivedAt);
+  return WorkTimes.workTime(request.Spec.Kind, request.Spec.TargetLatency);
 }
 
 bool ServiceBalancer::isLate(const Request &request, TimePoint now) const {
--- a/Libraries/LibBalance/WorkEstimate.cpp
+++ b/Libraries/LibBalance/WorkEstimate.cpp
@@ -20,8 +20,8 @@
 
 } // namespace
 
-Duration WorkEstimate::workTime(std::uint32_t kind, Duration objectiveDuration) const {
-  const double initialEstimate = toSeconds(objectiveDuration) * WorkShareOfObjective;
+Duration WorkEstimate::workTime(std::uint32_t kind, Duration targetLatency) const {
+  const double initialEstimate = toSeconds(targetLatency) * WorkShareOfObjective;
   const auto it = Kinds.find(kind);
   if (it == Kinds.end() || it->second.Samples == 0)
     return fromSeconds(initialEstimate);
--- a/Libraries/LibBalance/WorkEstimate.h
+++ b/Libraries/LibBalance/WorkEstimate.h
@@ -12,8 +12,8 @@
 class WorkEstimate {
 public:
   /// Time that an upstream at its usual speed takes. Before the first response, the estimate is a
-  /// fraction of the latency objective.
-  Duration workTime(std::uint32_t kind, Duration objectiveDuration) const;
+  /// fraction of the route's latency objective.
+  Duration workTime(std::uint32_t kind, Duration targetLatency) const;
   double responseBytes(std::uint32_t kind) const;
   /// Mean over all kinds, weighted by their numbers of responses.
   Duration mean() const;
--- a/Services/Gateway/RequestIntake.cpp
+++ b/Services/Gateway/RequestIntake.cpp
@@ -132,6 +132,7 @@
           .Class = route.Class,
           .Kind = Owner.kindOf(route),
           .ArrivedAt = ArrivedAt,
+          .TargetLatency = target,
           .Objective = ArrivedAt + target - RequestWay - AnswerWay - waited,
           .Deadline = Owner.stopPlan().deadline(deadline),
           .Priority = route.Priority,
--- a/Tests/LibBalance/Harness.h
+++ b/Tests/LibBalance/Harness.h
@@ -42,6 +42,7 @@
             .Class = callClass,
             .Kind = 1,
             .ArrivedAt = Now,
+            .TargetLatency = std::chrono::milliseconds{270},
             .Objective = Now + std::chrono::milliseconds{270},
             .Deadline = Now + std::chrono::milliseconds{800},
             .MaxAttempts = 2};
--- a/Tests/LibBalance/TestChoice.cpp
+++ b/Tests/LibBalance/TestChoice.cpp
@@ -62,6 +62,20 @@
   }
 }
 
+// The return of a whole fleet: callers have waited for longer than their objective, and no VM has
+// seen how long work takes. Guards against refusing them while upstreams have room.
+TEST(Choice, SendsRequestsOfCallersWhoWaitedWhileNoWorkTimeIsKnown) {
+  Harness it{8};
+  for (const int waitedMs : {270, 700, 2000}) {
+    RequestSpec spec = it.spec();
+    spec.Objective -= std::chrono::milliseconds{waitedMs};
+    spec.Deadline = it.Now + std::chrono::seconds{2};
+    const CallId id = it.arrive(spec);
+    it.advance(std::chrono::milliseconds{20});
+    EXPECT_EQ(it.sendsOf(id).size(), 1U) << waitedMs;
+  }
+}
+
 // Traffic between data centres is expensive. Guards against using an upstream in another data
 // centre while a local one is as good.
 TEST(Choice, PrefersLocalUpstreams) {
