LibHttp: Serve connections that wait to be accepted when accepting stops

Cause: a planned stop closed the listener while the kernel held connections that were not accepted yet. These were reset, with the requests that their callers had already sent.

Change: what waits is accepted before the listener closes.

Result: the new test opens five connections with a request each before the stop; none was served before, all five are now.

--- a/Libraries/LibHttp/CallerServer.cpp
+++ b/Libraries/LibHttp/CallerServer.cpp
@@ -39,7 +39,16 @@
 }
 
 void CallerServer::stopAccepting() {
+  // The kernel has opened connections that were not accepted yet. Their callers may have sent a
+  // request, and closing the acceptor would reset them.
   boost::system::error_code ec;
+  Acceptor.non_blocking(true, ec);
+  while (!ec) {
+    asio::ip::tcp::socket socket{Acceptor.get_executor()};
+    Acceptor.accept(socket, ec);
+    if (!ec)
+      serve(std::move(socket));
+  }
   Acceptor.close(ec);
 }
 
--- a/Libraries/LibHttp/CallerServer.h
+++ b/Libraries/LibHttp/CallerServer.h
@@ -28,7 +28,7 @@
   absl::Status start(const boost::asio::ip::tcp::endpoint &endpoint);
   /// Port that was bound; of use when port 0 was asked for.
   std::uint16_t port() const;
-  /// Stops to accept. Open connections go on.
+  /// Accepts what callers have opened and nothing after that. Open connections go on.
   void stopAccepting();
   /// Closes connections whose pending operation has timed out.
   void closeExpired(TimePoint now);
--- a/Tests/LibHttp/TestCallerServer.cpp
+++ b/Tests/LibHttp/TestCallerServer.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include <string_view>
+#include <vector>
 
 using namespace wigeonlift;
 namespace asio = boost::asio;
@@ -92,3 +93,18 @@
   runReady();
   EXPECT_EQ(Server.connections(), 0);
 }
+
+// Guards against a stop that resets connections which callers have opened and used, and which only
+// wait to be accepted.
+TEST_F(CallerServerTest, AStopServesConnectionsThatWaitToBeAccepted) {
+  std::vector<asio::ip::tcp::socket> callers;
+  for (int n = 0; n < 5; ++n) {
+    callers.emplace_back(Context).connect({asio::ip::address_v4::loopback(), Server.port()});
+    asio::write(callers.back(), asio::buffer(Request.data(), Request.size()));
+  }
+  Server.stopAccepting();
+  const auto end = std::chrono::steady_clock::now() + 2s;
+  while (Requests < 5 && std::chrono::steady_clock::now() < end)
+    Context.run_for(10ms);
+  EXPECT_EQ(Requests, 5);
+}
