--- a/Libraries/LibBalance/Attempts.cpp
+++ b/Libraries/LibBalance/Attempts.cpp
@@ -32,6 +32,22 @@
 constexpr Duration MaxRetryAfter = std::chrono::milliseconds{2000};
 constexpr double RetryAfterShareOfTimeLeft = 0.3;
 
+/// Updates what is known of an upstream by one of its responses.
+void noteResponse(UpstreamView &upstream, const ResponseInfo &response, TimePoint now) {
+  if (response.Load)
+    upstream.didReport(*response.Load, now, now);
+  switch (response.Kind) {
+  case ResponseKind::Success:
+    return upstream.didSucceed(now);
+  case ResponseKind::UpstreamFailure:
+    return upstream.didFail(UpstreamFailurePenalty, now);
+  case ResponseKind::NotRun:
+    return upstream.didFail(NotRunPenalty, now);
+  case ResponseKind::Invalid:
+    return upstream.didFail(InvalidResponsePenalty, now);
+  }
+}
+
 } // namespace
 
 bool ServiceBalancer::maySend(AttemptId id, TimePoint now, BalanceCommands &out) {
@@ -67,26 +83,9 @@
     return ResponseAction::Drop;
   const Attempt attempt = it->second;
   Request &request = Requests.at(attempt.Call);
-  UpstreamView *upstream = findUpstream(attempt.Upstream);
   removeAttempt(id);
-  if (upstream) {
-    if (response.Load)
-      upstream->didReport(*response.Load, now, now);
-    switch (response.Kind) {
-    case ResponseKind::Success:
-      upstream->didSucceed(now);
-      break;
-    case ResponseKind::UpstreamFailure:
-      upstream->didFail(UpstreamFailurePenalty, now);
-      break;
-    case ResponseKind::NotRun:
-      upstream->didFail(NotRunPenalty, now);
-      break;
-    case ResponseKind::Invalid:
-      upstream->didFail(InvalidResponsePenalty, now);
-      break;
-    }
-  }
+  if (UpstreamView *upstream = findUpstream(attempt.Upstream))
+    noteResponse(*upstream, response, now);
   if (response.Kind == ResponseKind::Success) {
     WorkTimes.addSample(request.Spec.Kind, now - attempt.StartedAt, attempt.Slowness,
                         response.Bytes);
