Gateway: Survive unexpected errors in handlers and tasks

Cause: an exception in a handler left io_context::run and ended the process. One in a long-lived task ended that task unseen, which left the process deaf to its peers, the store or signals.

Change: both are logged.

--- a/Services/Gateway/Daemon.cpp
+++ b/Services/Gateway/Daemon.cpp
@@ -1,10 +1,10 @@
 #include "Daemon.h"
 
+#include "KeepRunning.h"
+
 #include <platform/Platform.h>
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <fmt/format.h>
@@ -63,8 +63,8 @@
   if (!status.ok())
     return status;
   Store.start();
-  asio::co_spawn(Context, waitForSignals(), asio::detached);
-  asio::co_spawn(Context, maintainRegularly(), asio::detached);
+  keepRunning(Context, Log, "signals", [this] { return waitForSignals(); });
+  keepRunning(Context, Log, "maintenance", [this] { return maintainRegularly(); });
   Log.write(EventLog::Priority::Important, "started",
             {{"dc", settings.DataCentre}, {"callers", settings.CallersAddress}});
   Log.flush();
@@ -72,7 +72,7 @@
 }
 
 void Daemon::run() {
-  Context.run();
+  runContext(Context, Log);
   Log.write(EventLog::Priority::Important, "stopped", {});
   Log.flush();
 }
@@ -87,7 +87,7 @@
       continue;
     }
     if (!Core.isStopping())
-      asio::co_spawn(Context, stop(), asio::detached);
+      keepRunning(Context, Log, "stop", [this] { return stop(); });
   }
 }
 
--- a/Services/Gateway/FleetTask.cpp
+++ b/Services/Gateway/FleetTask.cpp
@@ -1,14 +1,16 @@
 #include "FleetTask.h"
 
+#include "KeepRunning.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <chrono>
+#include <exception>
 
 namespace wigeonlift {
 
@@ -93,8 +95,8 @@
     Socket.non_blocking(true, ec);
   if (ec)
     return absl::UnavailableError(ec.message());
-  asio::co_spawn(Owner.context(), receive(), asio::detached);
-  asio::co_spawn(Owner.context(), beatRegularly(), asio::detached);
+  keepRunning(Owner.context(), Owner.eventLog(), "datagrams", [this] { return receive(); });
+  keepRunning(Owner.context(), Owner.eventLog(), "gossip", [this] { return beatRegularly(); });
   return absl::OkStatus();
 }
 
@@ -159,7 +161,8 @@
     applyFromPeer(*message.Delta, message.DeltaAfter, message.Sender.Ip);
   if (!IsPulling && Members.findPeerAhead(Replica.revision(), now)) {
     IsPulling = true;
-    asio::co_spawn(Owner.context(), pull(), asio::detached);
+    asio::co_spawn(Owner.context(), pull(),
+                   [this](const std::exception_ptr &) { IsPulling = false; });
   }
 }
 
@@ -189,7 +192,6 @@
                              {{"vm", toText(*from, CallersPort)}});
     wait = PullRetry;
   }
-  IsPulling = false;
 }
 
 const std::string &FleetTask::changesSince(StoreRevision after) {
--- a/Services/Gateway/StoreTask.cpp
+++ b/Services/Gateway/StoreTask.cpp
@@ -1,8 +1,8 @@
 #include "StoreTask.h"
 
+#include "KeepRunning.h"
+
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <fmt/format.h>
@@ -36,7 +36,9 @@
     : Owner(gateway), Peers(fleet), Client(*parseEndpoint(gateway.settings().StoreAddress)),
       Rng(seed), Timer(gateway.context()) {}
 
-void StoreTask::start() { asio::co_spawn(Owner.context(), run(), asio::detached); }
+void StoreTask::start() {
+  keepRunning(Owner.context(), Owner.eventLog(), "store", [this] { return run(); });
+}
 
 asio::awaitable<void> StoreTask::waitForPeers() {
   const TimePoint end = bootTimeNow() + FirstStartWait;
