--- a/Services/Gateway/AnswerWriter.cpp
+++ b/Services/Gateway/AnswerWriter.cpp
@@ -44,11 +44,6 @@
   co_return co_await relay(pending, std::move(std::get<OpenAnswer>(outcome)), after);
 }
 
-asio::awaitable<bool> AnswerWriter::write(const PendingRequest &pending, const Rejection &rejection,
-                                          AfterAnswer after) {
-  co_return co_await writeOwn(pending, rejection, after);
-}
-
 asio::awaitable<bool> AnswerWriter::relay(const PendingRequest &pending, WholeAnswer whole,
                                           AfterAnswer after) {
   setClose(whole.Head, after);
@@ -90,20 +85,21 @@
   ++(status == Unavailable ? Owner.counts().Refused : Owner.counts().Failed);
   Owner.log().didRefuse(*pending.Request, failure, status, bootTimeNow());
   const Duration retryAfter = status == Unavailable ? failure.RetryAfter : Duration::zero();
-  co_return co_await writeOwn(pending, {status, toString(failure.Kind), retryAfter}, after);
+  const Rejection rejection{status, toString(failure.Kind), retryAfter};
+  co_return co_await write(pending, rejection, after);
 }
 
-asio::awaitable<bool> AnswerWriter::writeOwn(const PendingRequest &pending, const Rejection &answer,
-                                             AfterAnswer after) {
+asio::awaitable<bool> AnswerWriter::write(const PendingRequest &pending, const Rejection &rejection,
+                                          AfterAnswer after) {
   HttpResponseHead head;
   head.version(11);
-  head.result(static_cast<unsigned>(answer.Status));
+  head.result(static_cast<unsigned>(rejection.Status));
   head.set(http::field::content_type, "application/json");
-  if (answer.RetryAfter > Duration::zero())
-    head.set(http::field::retry_after, fmt::format("{:.3f}", toSeconds(answer.RetryAfter)));
+  if (rejection.RetryAfter > Duration::zero())
+    head.set(http::field::retry_after, fmt::format("{:.3f}", toSeconds(rejection.RetryAfter)));
   setClose(head, after);
-  co_return co_await Caller.write(std::move(head), fmt::format("{{\"error\":\"{}\"}}", answer.Why),
-                                  pending.Method);
+  co_return co_await Caller.write(
+      std::move(head), fmt::format("{{\"error\":\"{}\"}}", rejection.Why), pending.Method);
 }
 
 } // namespace wigeonlift
--- a/Services/Gateway/AnswerWriter.h
+++ b/Services/Gateway/AnswerWriter.h
@@ -19,6 +19,7 @@
   /// completed; the connection must then be closed, so that the answer can't look whole.
   boost::asio::awaitable<bool> write(const PendingRequest &pending, RequestOutcome outcome,
                                      AfterAnswer after);
+  /// Writes an answer of this VM's own.
   boost::asio::awaitable<bool> write(const PendingRequest &pending, const Rejection &rejection,
                                      AfterAnswer after);
 
@@ -29,8 +30,6 @@
                                      AfterAnswer after);
   boost::asio::awaitable<bool> refuse(const PendingRequest &pending, const Failure &failure,
                                       AfterAnswer after);
-  boost::asio::awaitable<bool> writeOwn(const PendingRequest &pending, const Rejection &answer,
-                                        AfterAnswer after);
 
   Gateway &Owner;
   CallerConnection &Caller;
--- a/Services/Gateway/BodyMemory.h
+++ b/Services/Gateway/BodyMemory.h
@@ -5,8 +5,8 @@
 
 namespace wigeonlift {
 
-/// Bounds the bytes of request bodies that the process holds at a time, so that callers with large
-/// bodies can't make it exceed its memory. It must outlive its reservations.
+/// Bounds the bytes of bodies that the process holds at a time, of requests or of answers, so that
+/// callers can't make it exceed its memory. It must outlive its reservations.
 class BodyMemory {
 public:
   explicit BodyMemory(std::size_t limit) : Limit(limit) {}
