--- a/Libraries/LibHttp/CallerConnection.cpp
+++ b/Libraries/LibHttp/CallerConnection.cpp
@@ -148,7 +148,7 @@
         asio::bind_cancellation_slot(stop.slot(), asio::as_tuple(asio::use_awaitable)));
     Reader->Buffer.commit(n);
     if (ec)
-      co_return ec == asio::error::operation_aborted &&Socket.is_open();
+      co_return Socket.is_open() && ec == asio::error::operation_aborted;
   }
   co_return true;
 }
--- a/Services/Gateway/CallerSession.cpp
+++ b/Services/Gateway/CallerSession.cpp
@@ -37,6 +37,10 @@
     if (failure) {
       IsEnding = true;
       Caller->close();
+      // The other task may wait for this one.
+      abandonRequests();
+      wake(RequestAdded);
+      wake(RequestAnswered);
     }
     --RunningTasks;
     wake(TaskEnded);
