LibFleet: Decide on calls to the store and on changes to pass on without I/O

FleetTask and StoreTask held the logic that merges changes, passes them on and chooses the next call to the store, so no test could run a fleet. FleetReplica and StoreSync take it over as it was.

--- a/Libraries/LibFleet/LibFleet.h
+++ b/Libraries/LibFleet/LibFleet.h
@@ -4,4 +4,6 @@
 #include <LibFleet/FleetCodec.h>
 #include <LibFleet/FleetMembership.h>
 #include <LibFleet/FleetMessage.h>
+#include <LibFleet/FleetReplica.h>
+#include <LibFleet/StoreSync.h>
 #include <LibFleet/VmAddress.h>
--- a/Services/Gateway/FleetTask.cpp
+++ b/Services/Gateway/FleetTask.cpp
@@ -69,14 +69,14 @@
 
 FleetTask::FleetTask(Gateway &gateway, std::uint64_t seed)
     : Owner(gateway),
-      Members(selfOf(gateway.settings()), seedsOf(gateway.settings()), seed, bootTimeNow()),
+      Fleet(selfOf(gateway.settings()), seedsOf(gateway.settings()), seed, bootTimeNow()),
       Socket(gateway.context()), Server(gateway.context(), [this](HttpRequest request) {
         return answer(std::move(request));
       }) {
   if (const auto callers = parseEndpoint(gateway.settings().CallersAddress))
     CallersPort = callers->port();
   const auto seeds = seedsOf(gateway.settings());
-  IsSeed = std::ranges::find(seeds, Members.self().Ip) != seeds.end();
+  IsSeed = std::ranges::find(seeds, Fleet.members().self().Ip) != seeds.end();
 }
 
 absl::Status FleetTask::start() {
@@ -100,26 +100,12 @@
   return absl::OkStatus();
 }
 
-void FleetTask::stop() { send(Members.stop(bootTimeNow())); }
-
-void FleetTask::didLearn(const StoreDelta &delta, StoreRevision after) {
-  didReachStore();
-  apply(delta, after, "store", PropagationScope::LocalVmsAndRemoteReaders);
-}
-
-void FleetTask::setStoreDisconnected(bool hasLost) {
-  send(Members.setStoreDisconnected(hasLost, bootTimeNow()));
-}
-
-bool FleetTask::mustWatch() const {
-  const TimePoint now = bootTimeNow();
-  return Members.isReader(now) || !Members.hasWorkingReader(now);
-}
+void FleetTask::stop() { send(Fleet.members().stop(bootTimeNow())); }
 
 std::vector<std::string> FleetTask::callersAddresses(std::string_view dataCentre) {
   std::vector<std::string> result;
   for (const VmAddress it :
-       Members.addressesForCaller(dataCentre, MaxCallerAddresses, bootTimeNow()))
+       Fleet.members().addressesForCaller(dataCentre, MaxCallerAddresses, bootTimeNow()))
     result.push_back(toText(it, CallersPort));
   return result;
 }
@@ -128,10 +114,10 @@
   asio::steady_timer timer{Owner.context()};
   while (true) {
     const TimePoint now = bootTimeNow();
-    Members.setReady(Owner.isReady());
-    send(Members.tick(now));
-    Owner.setBudgetShare(Members.budgetShare(now));
-    for (const auto &[ip, state] : Members.takeLivenessChanges(now))
+    Fleet.members().setReady(Owner.isReady());
+    send(Fleet.members().tick(now));
+    Owner.setBudgetShare(Fleet.members().budgetShare(now));
+    for (const auto &[ip, state] : Fleet.members().takeLivenessChanges(now))
       Owner.eventLog().write(EventLog::Priority::Important, "member",
                              {{"vm", toText(ip, CallersPort)}, {"state", std::string{state}}});
     timer.expires_after(FleetMembership::GossipInterval);
@@ -155,11 +141,8 @@
 
 void FleetTask::handle(const FleetMessage &message) {
   const TimePoint now = bootTimeNow();
-  send(Members.didReceive(message, now));
-  if (message.Delta && Replica.revision() >= message.DeltaAfter &&
-      message.Delta->AsOf > Replica.revision())
-    applyFromPeer(*message.Delta, message.DeltaAfter, message.Sender.Ip);
-  if (!IsPulling && Members.findPeerAhead(Replica.revision(), now)) {
+  publish(Fleet.didReceive(message, now), "peer");
+  if (!IsPulling && Fleet.members().findPeerAhead(Fleet.revision(), now)) {
     IsPulling = true;
     asio::co_spawn(Owner.context(), pull(),
                    [this](const std::exception_ptr &) { IsPulling = false; });
@@ -168,16 +151,16 @@
 
 asio::awaitable<void> FleetTask::pull() {
   asio::steady_timer timer{Owner.context()};
-  Duration wait = Replica.isEmpty() ? Duration::zero() : PullDelay;
+  Duration wait = Fleet.replica().isEmpty() ? Duration::zero() : PullDelay;
   while (true) {
     timer.expires_after(wait);
     co_await timer.async_wait(Completion);
-    const auto from = Members.findPeerAhead(Replica.revision(), bootTimeNow());
+    const auto from = Fleet.members().findPeerAhead(Fleet.revision(), bootTimeNow());
     if (!from)
       break;
     ++Pulls;
     const auto endpoint = *parseEndpoint(toText(*from, Owner.settings().FirstInternalPort));
-    const StoreRevision after = Replica.revision();
+    const StoreRevision after = Fleet.revision();
     const std::string target = fmt::format("{}{}", ReplicaTarget, after);
     const auto response =
         co_await fetch(endpoint, HttpRequest{http::verb::get, target, 11}, PullTimeout);
@@ -186,7 +169,7 @@
                            : std::nullopt;
     const auto delta = bytes ? decodeStoreDelta(*bytes) : std::nullopt;
     if (delta)
-      applyFromPeer(*delta, after, *from);
+      publish(Fleet.didReadPeer(*delta, after, *from, bootTimeNow()), "peer");
     else
       Owner.eventLog().write(EventLog::Priority::Routine, "pull_failed",
                              {{"vm", toText(*from, CallersPort)}});
@@ -195,10 +178,10 @@
 }
 
 const std::string &FleetTask::changesSince(StoreRevision after) {
-  if (AnswerBody.empty() || AnswerAfter != after || AnswerAsOf != Replica.revision()) {
-    AnswerBody = compress(encodeStoreDelta(Replica.changesSince(after), after));
+  if (AnswerBody.empty() || AnswerAfter != after || AnswerAsOf != Fleet.revision()) {
+    AnswerBody = compress(encodeStoreDelta(Fleet.replica().changesSince(after), after));
     AnswerAfter = after;
-    AnswerAsOf = Replica.revision();
+    AnswerAsOf = Fleet.revision();
   }
   return AnswerBody;
 }
@@ -217,21 +200,10 @@
   co_return response;
 }
 
-void FleetTask::applyFromPeer(const StoreDelta &delta, StoreRevision after, VmAddress from) {
-  apply(delta, after, "peer",
-        Members.isInOwnDataCentre(from) ? PropagationScope::FewLocalVms
-                                        : PropagationScope::AllLocalVms);
-}
-
-void FleetTask::apply(const StoreDelta &delta, StoreRevision after, std::string_view source,
-                      PropagationScope reach) {
-  const TimePoint now = bootTimeNow();
-  const StoreRevision before = Replica.revision();
-  const auto changes = Replica.apply(delta, now);
-  Members.setRevision(Replica.revision());
-  if (Replica.revision() > before)
-    send(Members.propagate(delta, after, reach, now));
-  Owner.didLearn(changes, source, removalMeans(Members.storeOutage(now)));
+void FleetTask::publish(const ReplicaUpdate &update, std::string_view source) {
+  send(update.Datagrams);
+  if (!update.Changes.empty())
+    Owner.didLearn(update.Changes, source, removalMeans(update.Outage));
 }
 
 void FleetTask::send(const std::vector<FleetDatagram> &sends) {
--- a/Services/Gateway/FleetTask.h
+++ b/Services/Gateway/FleetTask.h
@@ -27,18 +27,14 @@
   /// Tells all VMs that this one gets no more callers.
   void stop();
 
-  /// The store told this VM of a change.
-  void didLearn(const StoreDelta &delta, StoreRevision after);
-  void setStoreDisconnected(bool hasLost);
-  /// The store answered, whether or not anything had changed.
-  void didReachStore() { Members.didReachStore(bootTimeNow()); }
   /// Whether other VMs turn to this one when they start.
   bool isSeed() const { return IsSeed; }
-  /// Whether this VM has to watch the store itself.
-  bool mustWatch() const;
   std::vector<std::string> callersAddresses(std::string_view dataCentre);
-  const FleetMembership &members() const { return Members; }
-  StoreReplica &replica() { return Replica; }
+  /// Sends the messages of an update and tells the gateway of its changes.
+  void publish(const ReplicaUpdate &update, std::string_view source);
+  FleetReplica &fleet() { return Fleet; }
+  const FleetMembership &members() const { return Fleet.members(); }
+  const StoreReplica &replica() const { return Fleet.replica(); }
   std::uint64_t bytesSent() const { return BytesSent; }
   std::uint64_t pulls() const { return Pulls; }
 
@@ -49,15 +45,11 @@
   const std::string &changesSince(StoreRevision after);
   boost::asio::awaitable<void> pull();
   void handle(const FleetMessage &message);
-  void apply(const StoreDelta &delta, StoreRevision after, std::string_view source,
-             PropagationScope reach);
-  void applyFromPeer(const StoreDelta &delta, StoreRevision after, VmAddress from);
   void send(const std::vector<FleetDatagram> &sends);
   void sendOne(const FleetDatagram &send);
 
   Gateway &Owner;
-  FleetMembership Members;
-  StoreReplica Replica;
+  FleetReplica Fleet;
   int CallersPort = 0;
   bool IsSeed = false;
   boost::asio::ip::udp::socket Socket;
--- a/Services/Gateway/StoreTask.cpp
+++ b/Services/Gateway/StoreTask.cpp
@@ -15,12 +15,6 @@
 
 namespace asio = boost::asio;
 
-constexpr Duration ReadTimeout = std::chrono::milliseconds{1000};
-// A store that is slow still answers a call without content within this time.
-constexpr Duration CheckTimeout = std::chrono::milliseconds{700};
-// A watch that hears nothing for long may be dead without a sign.
-constexpr Duration WatchWait = std::chrono::milliseconds{2000};
-constexpr Duration WatchTimeout = std::chrono::milliseconds{2500};
 constexpr Duration FirstStartWait = std::chrono::milliseconds{2000};
 constexpr Duration FirstStartCheck = std::chrono::milliseconds{250};
 
@@ -34,7 +28,7 @@
 
 StoreTask::StoreTask(Gateway &gateway, FleetTask &fleet, std::uint64_t seed)
     : Owner(gateway), Peers(fleet), Client(*parseEndpoint(gateway.settings().StoreAddress)),
-      Rng(seed), Timer(gateway.context()) {}
+      Sync(fleet.fleet(), seed), Timer(gateway.context()) {}
 
 void StoreTask::start() {
   keepRunning(Owner.context(), Owner.eventLog(), "store", [this] { return run(); });
@@ -45,7 +39,7 @@
   while (Peers.replica().isEmpty() && bootTimeNow() < end)
     co_await pause(FirstStartCheck);
   if (!Peers.replica().isEmpty())
-    Plan.didReceiveFullCopy();
+    Sync.didReceiveFullCopy();
 }
 
 asio::awaitable<void> StoreTask::run() {
@@ -53,53 +47,40 @@
   if (Owner.settings().IsFirstStart && !Peers.isSeed())
     co_await waitForPeers();
   while (true) {
-    const StoreSyncStep step = Plan.nextStep(Peers.mustWatch(), bootTimeNow());
-    switch (step) {
-    case StoreSyncStep::WaitForPeers:
-      break;
-    case StoreSyncStep::CheckRevision:
-      co_await check();
-      break;
-    case StoreSyncStep::ReadAll:
-      co_await readAll();
-      break;
-    case StoreSyncStep::Watch:
-      co_await watch();
-      break;
-    }
-    publish();
+    const StoreCall call = Sync.next(bootTimeNow());
+    co_await perform(call);
+    logConnection();
     // Until the first configuration is known, nothing is worth more than to get it.
-    const bool mayFold =
-        Owner.plans().current() || Plan.isDisconnected() || step == StoreSyncStep::WaitForPeers;
+    const bool mayFold = Owner.plans().current() || Sync.isDisconnected() ||
+                         call.Step == StoreSyncStep::WaitForPeers;
     if (mayFold)
-      co_await pause(Plan.pause(Rng.unit()));
+      co_await pause(Sync.pause());
   }
 }
 
-asio::awaitable<void> StoreTask::check() {
-  const auto theirs = co_await Client.readRevision(CheckTimeout);
-  if (!theirs.ok())
-    co_return didFail(theirs.status(), "check");
-  Peers.didReachStore();
-  Plan.didCheck(*theirs, Peers.replica().revision(), bootTimeNow());
-}
-
-asio::awaitable<void> StoreTask::readAll() {
-  const StoreRevision before = Peers.replica().revision();
-  const auto delta = co_await Client.readAll(ReadTimeout);
-  if (!delta.ok())
-    co_return didFail(delta.status(), "read");
-  Plan.didReadAll(bootTimeNow());
-  Peers.didLearn(*delta, before);
-}
-
-asio::awaitable<void> StoreTask::watch() {
-  const StoreRevision after = Peers.replica().revision();
-  const auto delta = co_await Client.watch(after, WatchWait, WatchTimeout);
-  if (!delta.ok())
-    co_return didFail(delta.status(), "watch");
-  Plan.didWatch(bootTimeNow());
-  Peers.didLearn(*delta, after);
+asio::awaitable<void> StoreTask::perform(StoreCall call) {
+  switch (call.Step) {
+  case StoreSyncStep::WaitForPeers:
+    co_return;
+  case StoreSyncStep::CheckRevision: {
+    const auto revision = co_await Client.readRevision(call.Timeout);
+    if (!revision.ok())
+      co_return didFail(revision.status(), "check");
+    co_return Peers.publish(Sync.didCheck(*revision, bootTimeNow()), "store");
+  }
+  case StoreSyncStep::ReadAll: {
+    const auto delta = co_await Client.readAll(call.Timeout);
+    if (!delta.ok())
+      co_return didFail(delta.status(), "read");
+    co_return Peers.publish(Sync.didReadAll(*delta, bootTimeNow()), "store");
+  }
+  case StoreSyncStep::Watch: {
+    const auto delta = co_await Client.watch(call.After, call.Wait, call.Timeout);
+    if (!delta.ok())
+      co_return didFail(delta.status(), "watch");
+    co_return Peers.publish(Sync.didWatch(*delta, bootTimeNow()), "store");
+  }
+  }
 }
 
 asio::awaitable<void> StoreTask::pause(Duration span) {
@@ -114,16 +95,13 @@
                          {{"call", std::string{call}},
                           {"why", status.ToString()},
                           {"rev", fmt::format("{}", Peers.replica().revision())}});
-  Plan.didFail(failureOf(status), bootTimeNow());
+  Peers.publish(Sync.didFail(failureOf(status), bootTimeNow()), "store");
 }
 
-void StoreTask::publish() {
-  if (std::exchange(WasLost, Plan.isDisconnected()) != Plan.isDisconnected()) {
-    Peers.setStoreDisconnected(Plan.isDisconnected());
-    if (Plan.isDisconnected())
-      Owner.eventLog().write(EventLog::Priority::Important, "store_lost", {});
-  }
-  if (!std::exchange(WasRecovering, Plan.isRecovering()) && Plan.isRecovering())
+void StoreTask::logConnection() {
+  if (!std::exchange(WasLost, Sync.isDisconnected()) && Sync.isDisconnected())
+    Owner.eventLog().write(EventLog::Priority::Important, "store_lost", {});
+  if (!std::exchange(WasRecovering, Sync.isRecovering()) && Sync.isRecovering())
     Owner.eventLog().write(EventLog::Priority::Important, "store_regained", {});
 }
 
--- a/Services/Gateway/StoreTask.h
+++ b/Services/Gateway/StoreTask.h
@@ -5,7 +5,7 @@
 
 #include <platform/Platform.h>
 
-#include <LibDiscovery/LibDiscovery.h>
+#include <LibFleet/LibFleet.h>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -23,20 +23,17 @@
 private:
   boost::asio::awaitable<void> run();
   boost::asio::awaitable<void> waitForPeers();
-  boost::asio::awaitable<void> check();
-  boost::asio::awaitable<void> readAll();
-  boost::asio::awaitable<void> watch();
+  boost::asio::awaitable<void> perform(StoreCall call);
   boost::asio::awaitable<void> pause(Duration span);
   void didFail(const absl::Status &status, std::string_view call);
-  /// Tells the other VMs and the log when the store was lost or regained.
-  void publish();
+  /// Logs when the store was lost or regained.
+  void logConnection();
 
   Gateway &Owner;
   FleetTask &Peers;
   platform::StoreClient Client;
-  Random Rng;
+  StoreSync Sync;
   boost::asio::steady_timer Timer;
-  StoreSyncPolicy Plan;
   bool WasLost = false;
   bool WasRecovering = false;
 };
