LibFleet: Show the age of each VM's copy of the store

A VM didn't know how old its copy is, so its logs couldn't tell a VM that waits for a silent reader from one that is told too late. Each message now says how long ago the store confirmed its sender's copy; a VM logs when its own copy becomes older than its limit, with the reader and how long that one has been silent, and shows the age as a metric. Nothing is decided by it yet.

--- a/Libraries/LibDiscovery/LibDiscovery.h
+++ b/Libraries/LibDiscovery/LibDiscovery.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibDiscovery/ReplicaFreshness.h>
 #include <LibDiscovery/StoreReplica.h>
 #include <LibDiscovery/StoreSyncPolicy.h>
 #include <LibDiscovery/UpstreamList.h>
--- a/Libraries/LibDiscovery/ReplicaFreshness.h
+++ b/Libraries/LibDiscovery/ReplicaFreshness.h
@@ -3,6 +3,7 @@
 #include <LibBase/LibBase.h>
 
 #include <algorithm>
+#include <optional>
 
 namespace wigeonlift {
 
@@ -32,23 +33,21 @@
 /// Keeps track of the age of a VM's replica of the store.
 class ReplicaFreshness {
 public:
-  /// A VM that has just started has one age limit to learn how old its replica is.
-  explicit ReplicaFreshness(TimePoint startedAt) : ConfirmedAt(startedAt) {}
-
-  /// The replica has all changes that the store had acknowledged at `confirmedAt`. Returns whether
-  /// this is news.
-  bool didConfirm(TimePoint confirmedAt) {
-    if (confirmedAt <= ConfirmedAt)
-      return false;
-    ConfirmedAt = confirmedAt;
-    return true;
+  explicit ReplicaFreshness(TimePoint startedAt) : StartedAt(startedAt) {}
+
+  /// The replica has all changes that the store had acknowledged at `confirmedAt`.
+  void didConfirm(TimePoint confirmedAt) {
+    ConfirmedAt = std::max(ConfirmedAt.value_or(confirmedAt), confirmedAt);
   }
 
-  TimePoint confirmedAt() const { return ConfirmedAt; }
-  Duration age(TimePoint now) const { return now - ConfirmedAt; }
+  /// Empty until the replica is first confirmed.
+  std::optional<TimePoint> confirmedAt() const { return ConfirmedAt; }
+  /// Until the replica is first confirmed, the time since the start of the process.
+  Duration age(TimePoint now) const { return now - ConfirmedAt.value_or(StartedAt); }
 
 private:
-  TimePoint ConfirmedAt;
+  TimePoint StartedAt;
+  std::optional<TimePoint> ConfirmedAt;
 };
 
 } // namespace wigeonlift
--- a/Libraries/LibFleet/FleetCodec.cpp
+++ b/Libraries/LibFleet/FleetCodec.cpp
@@ -18,6 +18,8 @@
   out.set_weight(vm.Weight);
   out.set_revision(vm.Revision);
   out.set_contact_age_ms(vm.StoreContactAgeMs);
+  if (vm.ReplicaAgeMs)
+    out.set_replica_age_ms_plus_one(*vm.ReplicaAgeMs + 1);
 }
 
 FleetVm decode(const fleetwire::Vm &in) {
@@ -29,6 +31,9 @@
           .IsStopping = (in.flags() & StoppingFlag) != 0,
           .IsStoreDisconnected = (in.flags() & StoreDisconnectedFlag) != 0,
           .StoreContactAgeMs = in.contact_age_ms(),
+          .ReplicaAgeMs = in.replica_age_ms_plus_one() > 0
+                              ? std::optional{in.replica_age_ms_plus_one() - 1}
+                              : std::nullopt,
           .Weight = in.weight(),
           .Revision = in.revision()};
 }
--- a/Libraries/LibFleet/FleetMembership.cpp
+++ b/Libraries/LibFleet/FleetMembership.cpp
@@ -60,7 +60,7 @@
   std::vector<FleetDatagram> datagrams;
   for (const auto &[ip, peer] : Peers)
     if (isAlive(peer, now))
-      datagrams.push_back({.To = ip, .Message = {.Sender = Self}});
+      datagrams.push_back({.To = ip, .Message = {.Sender = selfAt(now)}});
   return datagrams;
 }
 
@@ -70,23 +70,27 @@
   Self.IsStoreDisconnected = isDisconnected;
   if (!hasJustDisconnected)
     return {};
-  updateStoreContactAge(now);
   ++Self.HeartbeatCount;
   std::vector<FleetDatagram> datagrams;
   for (const FleetVm &it : readerCandidates(Self.DataCentre, now))
     if (it.Ip != Self.Ip && datagrams.size() < NextReadersNotified)
-      datagrams.push_back({.To = it.Ip, .Message = {.Sender = Self}});
+      datagrams.push_back({.To = it.Ip, .Message = {.Sender = selfAt(now)}});
   return datagrams;
 }
 
-void FleetMembership::updateStoreContactAge(TimePoint now) {
-  constexpr Duration maxContactAge = std::chrono::hours{1};
-  Self.StoreContactAgeMs =
-      static_cast<std::uint32_t>(toMilliseconds(std::min(maxContactAge, now - StoreContactAt)));
+FleetVm FleetMembership::selfAt(TimePoint now) const {
+  const auto ageMs = [&](TimePoint since) {
+    constexpr Duration maxAge = std::chrono::hours{1};
+    return static_cast<std::uint32_t>(toMilliseconds(std::min(maxAge, now - since)));
+  };
+  FleetVm vm = Self;
+  vm.StoreContactAgeMs = ageMs(StoreContactAt);
+  if (ReplicaConfirmedAt)
+    vm.ReplicaAgeMs = ageMs(*ReplicaConfirmedAt);
+  return vm;
 }
 
 std::vector<FleetDatagram> FleetMembership::tick(TimePoint now) {
-  updateStoreContactAge(now);
   ++TickCount;
   ++Self.HeartbeatCount;
   std::erase_if(Peers, [&](const auto &it) { return now - it.second.HeardAt > ForgetAfter; });
@@ -145,7 +149,7 @@
     std::ranges::shuffle(receivers, Rng.engine());
     receivers.resize(std::min(receivers.size(), FewLocalReceivers));
   }
-  const FleetMessage out{.Sender = Self, .Delta = delta, .DeltaAfter = deltaAfter};
+  const FleetMessage out{.Sender = selfAt(now), .Delta = delta, .DeltaAfter = deltaAfter};
   std::vector<FleetDatagram> datagrams;
   datagrams.reserve(receivers.size());
   for (const VmAddress it : receivers)
@@ -202,7 +206,7 @@
 }
 
 FleetMessage FleetMembership::composeMessage(bool isToRemote, TimePoint now) {
-  FleetMessage out{.Sender = Self};
+  FleetMessage out{.Sender = selfAt(now)};
   for (const Peer *it :
        mostRecentlyHeard(true, isToRemote ? MaxLocalOthersToRemote : MaxLocalOthers, now))
     out.Others.push_back(it->Vm);
--- a/Libraries/LibFleet/FleetMembership.h
+++ b/Libraries/LibFleet/FleetMembership.h
@@ -25,6 +25,13 @@
             ///< recently.
 };
 
+/// Another VM that watches the store for this one.
+struct OtherReader {
+  VmAddress Ip = 0;
+  /// Time since a newer state of that VM last arrived.
+  Duration SilentFor{};
+};
+
 /// Which VMs a change of the store is sent to. VMs that are known to have it are left out.
 enum class PropagationScope : std::uint8_t {
   LocalVmsAndRemoteReaders, ///< If the change comes from the store.
@@ -56,6 +63,8 @@
   /// Updates the state of this VM that the others receive.
   void setReady(bool isReady) { Self.IsReady = isReady; }
   void setRevision(StoreRevision revision) { Self.Revision = revision; }
+  /// The replica of this VM has all changes that the store had acknowledged at `confirmedAt`.
+  void setReplicaConfirmedAt(TimePoint confirmedAt) { ReplicaConfirmedAt = confirmedAt; }
   /// Sets whether this VM's calls to the store fail. If they have just begun to fail, returns
   /// messages that notify the next reader candidates directly, since gossip would take too long.
   std::vector<FleetDatagram> setStoreDisconnected(bool isDisconnected, TimePoint now);
@@ -82,6 +91,9 @@
   std::vector<FleetVm> aliveVms(TimePoint now) const;
   /// Whether this VM watches the store for its data centre.
   bool isReader(TimePoint now) const;
+  /// The VM that watches the store for this data centre. Empty if this VM does so itself or no VM
+  /// is able to.
+  std::optional<OtherReader> otherReader(TimePoint now) const;
   /// Whether another VM of this data centre is its reader and reaches the store.
   bool hasWorkingReader(TimePoint now) const;
   StoreOutage storeOutage(TimePoint now) const;
@@ -110,7 +122,8 @@
 
   bool isAlive(const Peer &peer, TimePoint now) const;
   bool isInOwnDataCentre(const FleetVm &vm) const { return vm.DataCentre == Self.DataCentre; }
-  void updateStoreContactAge(TimePoint now);
+  /// The state of this VM with its ages as of now.
+  FleetVm selfAt(TimePoint now) const;
   void merge(const FleetVm &vm, TimePoint now);
   /// VMs of a data centre in the order of preference as readers. Stopping VMs and VMs without a
   /// copy of the store are left out.
@@ -132,6 +145,7 @@
   std::map<VmAddress, Peer> Peers;
   /// When the store last answered a call of this VM.
   TimePoint StoreContactAt{};
+  std::optional<TimePoint> ReplicaConfirmedAt;
   std::uint64_t TickCount = 0;
   /// Number of other VMs of the own data centre at the last tick, including those that are
   /// considered dead.
--- a/Libraries/LibFleet/FleetMembershipRoles.cpp
+++ b/Libraries/LibFleet/FleetMembershipRoles.cpp
@@ -61,6 +61,14 @@
                              [&](const FleetVm &it) { return it.Ip == Self.Ip; });
 }
 
+std::optional<OtherReader> FleetMembership::otherReader(TimePoint now) const {
+  const std::vector<FleetVm> readers = readersOf(Self.DataCentre, now);
+  if (readers.empty() || readers.front().Ip == Self.Ip)
+    return std::nullopt;
+  const VmAddress ip = readers.front().Ip;
+  return OtherReader{.Ip = ip, .SilentFor = now - Peers.at(ip).HeardAt};
+}
+
 bool FleetMembership::hasWorkingReader(TimePoint now) const {
   return std::ranges::any_of(readersOf(Self.DataCentre, now), [&](const FleetVm &it) {
     return it.Ip != Self.Ip && !it.IsStoreDisconnected;
--- a/Libraries/LibFleet/FleetMessage.h
+++ b/Libraries/LibFleet/FleetMessage.h
@@ -26,6 +26,10 @@
   /// Time since the store last answered a call of this VM, as of the VM's last tick or the later
   /// moment in which its calls began to fail. It also increases while the VM makes no calls.
   std::uint32_t StoreContactAgeMs = UINT32_MAX;
+  /// Age of the VM's replica of the store when the VM sent this state, if known: the replica has
+  /// all changes that the store had acknowledged this long before. Only the sender's own state in a
+  /// message says something about the present.
+  std::optional<std::uint32_t> ReplicaAgeMs{};
   /// Capacity for callers, relative to the weights of other VMs.
   std::uint32_t Weight = 1;
   /// Revision of the VM's replica of the store.
--- a/Libraries/LibFleet/FleetReplica.cpp
+++ b/Libraries/LibFleet/FleetReplica.cpp
@@ -6,17 +6,47 @@
 
 namespace wigeonlift {
 
+namespace {
+
+// Longer than ticks are delayed on a busy VM.
+constexpr Duration PauseLimit = 3 * FleetMembership::GossipInterval;
+
+} // namespace
+
+std::vector<FleetDatagram> FleetReplica::tick(TimePoint now) {
+  if (mayHavePaused(now))
+    IgnoreAgesUntil = now + FleetMembership::GossipInterval;
+  TickedAt = now;
+  return Members.tick(now);
+}
+
+bool FleetReplica::mayHavePaused(TimePoint now) const {
+  return now - TickedAt > PauseLimit || now < IgnoreAgesUntil;
+}
+
 ReplicaUpdate FleetReplica::didReceive(const FleetMessage &message, TimePoint now) {
   ReplicaUpdate update{.Datagrams = Members.didReceive(message, now)};
   if (message.Delta && Replica.revision() >= message.DeltaAfter &&
       message.Delta->AsOf > Replica.revision())
     apply(*message.Delta, message.DeltaAfter, scopeOfChangesFrom(message.Sender.Ip), now, update);
+  didReceiveAge(message.Sender, now);
   return update;
 }
 
+void FleetReplica::didReceiveAge(const FleetVm &sender, TimePoint now) {
+  if (sender.ReplicaAgeMs && sender.Revision <= Replica.revision() && !mayHavePaused(now))
+    didConfirm(now - std::chrono::milliseconds{*sender.ReplicaAgeMs});
+}
+
+void FleetReplica::didConfirm(TimePoint confirmedAt) {
+  Freshness.didConfirm(confirmedAt);
+  Members.setReplicaConfirmedAt(*Freshness.confirmedAt());
+}
+
 ReplicaUpdate FleetReplica::didReadStore(const StoreDelta &delta, StoreRevision after,
-                                         TimePoint now) {
+                                         TimePoint confirmedAt, TimePoint now) {
   Members.didReachStore(now);
+  didConfirm(confirmedAt);
   ReplicaUpdate update;
   apply(delta, after, PropagationScope::LocalVmsAndRemoteReaders, now, update);
   return update;
--- a/Libraries/LibFleet/FleetReplica.h
+++ b/Libraries/LibFleet/FleetReplica.h
@@ -22,14 +22,22 @@
 /// no I/O.
 class FleetReplica {
 public:
-  FleetReplica(FleetVm self, std::vector<VmAddress> seeds, std::uint64_t rngSeed,
-               TimePoint startedAt)
-      : Members(std::move(self), std::move(seeds), rngSeed, startedAt) {}
+  FleetReplica(FleetVm self, std::vector<VmAddress> seeds, FreshnessLimits limits,
+               std::uint64_t rngSeed, TimePoint startedAt)
+      : Members(std::move(self), std::move(seeds), rngSeed, startedAt), Freshness(startedAt),
+        Limits(limits), TickedAt(startedAt) {}
+
+  /// Returns the regular messages; to be called every `FleetMembership::GossipInterval`.
+  std::vector<FleetDatagram> tick(TimePoint now);
 
   /// Merges a message of another VM.
   ReplicaUpdate didReceive(const FleetMessage &message, TimePoint now);
-  /// Merges changes after a revision that the store sent.
-  ReplicaUpdate didReadStore(const StoreDelta &delta, StoreRevision after, TimePoint now);
+  /// Merges changes after a revision that the store sent. They include all that the store had
+  /// acknowledged at `confirmedAt`.
+  ReplicaUpdate didReadStore(const StoreDelta &delta, StoreRevision after, TimePoint confirmedAt,
+                             TimePoint now);
+  /// The store had acknowledged no later change at `confirmedAt` than those in the replica.
+  void didConfirm(TimePoint confirmedAt);
   /// Merges changes after a revision that were requested from another VM.
   ReplicaUpdate didReadPeer(const StoreDelta &delta, StoreRevision after, VmAddress peer,
                             TimePoint now);
@@ -38,14 +46,24 @@
   const FleetMembership &members() const { return Members; }
   const StoreReplica &replica() const { return Replica; }
   StoreRevision revision() const { return Replica.revision(); }
+  const ReplicaFreshness &freshness() const { return Freshness; }
+  const FreshnessLimits &limits() const { return Limits; }
 
 private:
   void apply(const StoreDelta &delta, StoreRevision after, PropagationScope scope, TimePoint now,
              ReplicaUpdate &update);
   PropagationScope scopeOfChangesFrom(VmAddress peer) const;
+  /// Whether messages of other VMs may have waited in the socket while this process stood still.
+  bool mayHavePaused(TimePoint now) const;
+  void didReceiveAge(const FleetVm &sender, TimePoint now);
 
   FleetMembership Members;
   StoreReplica Replica;
+  ReplicaFreshness Freshness;
+  FreshnessLimits Limits;
+  TimePoint TickedAt;
+  /// Until then, ages in messages are ignored, because the process has stood still.
+  TimePoint IgnoreAgesUntil{};
 };
 
 } // namespace wigeonlift
--- a/Libraries/LibFleet/StoreSync.cpp
+++ b/Libraries/LibFleet/StoreSync.cpp
@@ -40,23 +40,30 @@
     break;
   }
   LastCall.After = Fleet.revision();
+  CalledAt = now;
   return LastCall;
 }
 
 ReplicaUpdate StoreSync::didCheck(StoreRevision storeRevision, TimePoint now) {
   Policy.didCheck(storeRevision, Fleet.revision(), now);
   Fleet.members().didReachStore(now);
+  if (storeRevision <= Fleet.revision())
+    Fleet.didConfirm(CalledAt);
   return {.Datagrams = updateConnection(now)};
 }
 
 ReplicaUpdate StoreSync::didReadAll(const StoreDelta &delta, TimePoint now) {
   Policy.didReadAll(now);
-  return didRead(delta, now);
+  return didRead(delta, CalledAt, now);
 }
 
 ReplicaUpdate StoreSync::didWatch(const StoreDelta &delta, TimePoint now) {
   Policy.didWatch(now);
-  return didRead(delta, now);
+  // An answer may be delayed on its way. One without changes was sent at the end of the wait, one
+  // with changes at any time after the call.
+  const TimePoint confirmedAt =
+      delta.Items.empty() ? std::min(now, CalledAt + LastCall.Wait) : CalledAt;
+  return didRead(delta, confirmedAt, now);
 }
 
 ReplicaUpdate StoreSync::didFail(StoreFailure failure, TimePoint now) {
@@ -64,8 +71,8 @@
   return {.Datagrams = updateConnection(now)};
 }
 
-ReplicaUpdate StoreSync::didRead(const StoreDelta &delta, TimePoint now) {
-  ReplicaUpdate update = Fleet.didReadStore(delta, LastCall.After, now);
+ReplicaUpdate StoreSync::didRead(const StoreDelta &delta, TimePoint confirmedAt, TimePoint now) {
+  ReplicaUpdate update = Fleet.didReadStore(delta, LastCall.After, confirmedAt, now);
   std::ranges::move(updateConnection(now), std::back_inserter(update.Datagrams));
   return update;
 }
--- a/Libraries/LibFleet/StoreSync.h
+++ b/Libraries/LibFleet/StoreSync.h
@@ -37,7 +37,7 @@
 
 private:
   bool mustWatch(TimePoint now) const;
-  ReplicaUpdate didRead(const StoreDelta &delta, TimePoint now);
+  ReplicaUpdate didRead(const StoreDelta &delta, TimePoint confirmedAt, TimePoint now);
   /// Returns messages that tell other VMs when this VM's calls have just begun to fail.
   std::vector<FleetDatagram> updateConnection(TimePoint now);
 
@@ -45,6 +45,7 @@
   StoreSyncPolicy Policy;
   Random Rng;
   StoreCall LastCall;
+  TimePoint CalledAt{};
   bool WasDisconnected = false;
 };
 
--- a/Libraries/LibSettings/GatewaySettings.h
+++ b/Libraries/LibSettings/GatewaySettings.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/LibBase.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -21,6 +22,13 @@
   Duration MaxDirectoryLifetime = std::chrono::seconds{5};
   /// Probes an upstream and second, over all VMs.
   double ProbesPerUpstreamSecond = 60;
+  /// Time after which an upstream that leaves must get no new requests.
+  Duration DrainTimeout = std::chrono::seconds{2};
+  /// Time after which a new configuration must be in force.
+  Duration ConfigurationDeadline = std::chrono::seconds{2};
+
+  /// Time within which each VM must know a change of the store.
+  Duration changeDeadline() const { return std::min(DrainTimeout, ConfigurationDeadline); }
 };
 
 /// Settings of one gateway daemon. Addresses are `IP:PORT`; an address that isn't served is empty.
--- a/Meta/generate-wire.sh
+++ b/Meta/generate-wire.sh
@@ -1,5 +1,7 @@
 #!/usr/bin/env bash
-# Generates the committed protobuf code from Libraries/LibWire/Peer.proto.
+# Generates the committed protobuf code from the .proto files.
 set -euo pipefail
-cd "$(dirname "$0")/../Libraries/LibWire"
-protoc --cpp_out=Generated Peer.proto
+cd "$(dirname "$0")/../Libraries"
+for proto in LibWire/Peer.proto LibFleet/Fleet.proto; do
+  (cd "${proto%/*}" && protoc --cpp_out=Generated "${proto##*/}")
+done
--- a/Services/Gateway/FleetTask.cpp
+++ b/Services/Gateway/FleetTask.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <chrono>
 #include <exception>
+#include <utility>
 
 namespace wigeonlift {
 
@@ -69,7 +70,9 @@
 
 FleetTask::FleetTask(Gateway &gateway, std::uint64_t seed)
     : Owner(gateway),
-      Fleet(selfOf(gateway.settings()), seedsOf(gateway.settings()), seed, bootTimeNow()),
+      Fleet(selfOf(gateway.settings()), seedsOf(gateway.settings()),
+            FreshnessLimits::forChangeDeadline(gateway.settings().Bounds.changeDeadline()), seed,
+            bootTimeNow()),
       Socket(gateway.context()), Server(gateway.context(), [this](HttpRequest request) {
         return answer(std::move(request));
       }) {
@@ -115,7 +118,8 @@
   while (true) {
     const TimePoint now = bootTimeNow();
     Fleet.members().setReady(Owner.isReady());
-    send(Fleet.members().tick(now));
+    send(Fleet.tick(now));
+    logReplicaAge(now);
     Owner.setBudgetShare(Fleet.members().budgetShare(now));
     for (const auto &[ip, state] : Fleet.members().takeLivenessChanges(now))
       Owner.eventLog().write(EventLog::Priority::Important, "member",
@@ -125,6 +129,27 @@
   }
 }
 
+void FleetTask::logReplicaAge(TimePoint now) {
+  const Duration age = Fleet.freshness().age(now);
+  const bool isOld = age > Fleet.limits().MaxAgeLimit;
+  if (std::exchange(WasReplicaOld, isOld) == isOld)
+    return;
+  if (!isOld) {
+    Owner.eventLog().write(EventLog::Priority::Important, "replica_current",
+                           {{"age_ms", fmt::format("{}", toMilliseconds(age))},
+                            {"rev", fmt::format("{}", Fleet.revision())}});
+    return;
+  }
+  ++OldReplicas;
+  const auto reader = Fleet.members().otherReader(now);
+  Owner.eventLog().write(
+      EventLog::Priority::Important, "replica_old",
+      {{"age_ms", fmt::format("{}", toMilliseconds(age))},
+       {"rev", fmt::format("{}", Fleet.revision())},
+       {"reader", reader ? toText(reader->Ip, CallersPort) : "self"},
+       {"reader_silent_ms", fmt::format("{}", reader ? toMilliseconds(reader->SilentFor) : 0)}});
+}
+
 asio::awaitable<void> FleetTask::receive() {
   std::vector<char> buf(ReceiveBytes);
   while (true) {
--- a/Services/Gateway/FleetTask.h
+++ b/Services/Gateway/FleetTask.h
@@ -37,6 +37,8 @@
   const StoreReplica &replica() const { return Fleet.replica(); }
   std::uint64_t bytesSent() const { return BytesSent; }
   std::uint64_t pulls() const { return Pulls; }
+  /// How often the replica became older than its limit.
+  std::uint64_t oldReplicas() const { return OldReplicas; }
 
 private:
   boost::asio::awaitable<void> beatRegularly();
@@ -45,6 +47,8 @@
   const std::string &changesSince(StoreRevision after);
   boost::asio::awaitable<void> pull();
   void handle(const FleetMessage &message);
+  /// Logs when the replica has become older than its limit, and when it is current again.
+  void logReplicaAge(TimePoint now);
   void send(const std::vector<FleetDatagram> &sends);
   void sendOne(const FleetDatagram &send);
 
@@ -61,6 +65,8 @@
   bool IsPulling = false;
   std::uint64_t BytesSent = 0;
   std::uint64_t Pulls = 0;
+  bool WasReplicaOld = false;
+  std::uint64_t OldReplicas = 0;
 };
 
 } // namespace wigeonlift
--- a/Services/Gateway/Ports.cpp
+++ b/Services/Gateway/Ports.cpp
@@ -71,12 +71,16 @@
   text.counter("wigeonlift_store_call_failures_total", {},
                static_cast<double>(store.calls().Failed));
   text.gauge("wigeonlift_store_revision", {}, static_cast<double>(fleet.replica().revision()));
+  const TimePoint now = bootTimeNow();
+  text.gauge("wigeonlift_replica_age_seconds", {}, toSeconds(fleet.fleet().freshness().age(now)));
+  text.counter("wigeonlift_replica_old_total", {}, static_cast<double>(fleet.oldReplicas()));
+  text.gauge("wigeonlift_reads_store", {}, fleet.members().isReader(now) ? 1 : 0);
   text.gauge("wigeonlift_plan_version", {},
              gateway.plans().current()
                  ? static_cast<double>(gateway.plans().current()->configuration().Version)
                  : 0);
   text.gauge("wigeonlift_members_alive", {},
-             static_cast<double>(fleet.members().aliveVms(bootTimeNow()).size()));
+             static_cast<double>(fleet.members().aliveVms(now).size()));
   text.counter("wigeonlift_peer_bytes_sent_total", {}, static_cast<double>(fleet.bytesSent()));
   text.counter("wigeonlift_replica_pulls_total", {}, static_cast<double>(fleet.pulls()));
   text.counter("wigeonlift_log_lines_dropped_total", {},
