Tests: Show that VMs in touch learn of changes late beside silent VMs

A model of the fleet without a network: VMs run the real FleetReplica and StoreSync, lose power, freeze and are cut off in one or both directions, often within a second of a change, among them the readers. The store works all the time, so each VM in touch must know each change within the bound.

--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -5,4 +5,11 @@
 Meta/install.sh
 Meta/build.sh
 Meta/lint.sh
-ctest --test-dir build --output-on-failure -j "$(nproc)"
+# Tests of known faults are listed in KNOWN-RED.txt, one line "test: NAME" each. All others must pass.
+mapfile -t known_red < <(sed -n 's/^test: //p' KNOWN-RED.txt)
+excluded=()
+if ((${#known_red[@]})); then
+  printf 'known red, not run: %s\n' "${known_red[@]}"
+  excluded=(-E "^($(IFS='|'; echo "${known_red[*]//./[.]}"))\$")
+fi
+ctest --test-dir build --output-on-failure -j "$(nproc)" "${excluded[@]}"
--- /dev/null
+++ b/Tests/LibFleet/ModelFleet.cpp
@@ -0,0 +1,345 @@
+#include <Tests/LibFleet/ModelFleet.h>
+
+#include <algorithm>
+#include <sstream>
+
+namespace wigeonlift::test {
+
+namespace {
+
+constexpr Duration ms(int n) { return std::chrono::milliseconds{n}; }
+
+constexpr TimePoint Begin{std::chrono::seconds{1000}};
+// The fleet is calm until then, so that all VMs know each other and have a copy of the store.
+constexpr TimePoint FaultsFrom = Begin + std::chrono::seconds{8};
+constexpr TimePoint FaultsUntil = Begin + std::chrono::seconds{20};
+constexpr TimePoint End = Begin + std::chrono::seconds{26};
+constexpr Duration SettleTime = std::chrono::seconds{3};
+constexpr Duration CheckInterval = ms(20);
+constexpr Duration PullDelay = ms(80);
+constexpr Duration PullRetry = ms(200);
+constexpr Duration PullTimeout = ms(1200);
+constexpr Duration MaxTimerDelay = ms(20);
+constexpr Duration RestartDelay = ms(50);
+constexpr Duration StoreAnswerTime = ms(4);
+constexpr double DatagramLoss = 0.01;
+constexpr int Keys = 20;
+
+} // namespace
+
+ModelFleet::ModelFleet(ModelOptions options, std::uint64_t seed)
+    : Options(options), Rng(seed), Now(Begin) {
+  for (int n = 0; n < Keys; ++n)
+    StoreItems.push_back({.Key = "k" + std::to_string(n), .Value = "v", .Revision = 1});
+  for (int n = 0; n < options.Vms; ++n) {
+    Vms.push_back(std::make_unique<Vm>());
+    Vms.back()->Index = n;
+  }
+}
+
+Duration ModelFleet::measuredTime() { return End - FaultsFrom; }
+
+Duration ModelFleet::between(Duration least, Duration most) {
+  return least + fromSeconds(toSeconds(most - least) * Rng.unit());
+}
+
+void ModelFleet::at(TimePoint time, std::function<void()> run) {
+  Events.push({.At = time, .Sequence = ++EventCount, .Run = std::move(run)});
+}
+
+void ModelFleet::inVm(Vm &vm, Duration delay, std::function<void()> run) {
+  const int generation = vm.Generation;
+  at(Now + delay, [this, &vm, generation, run = std::move(run)] {
+    if (vm.Generation != generation || !vm.isRunning())
+      return;
+    if (vm.Freezes == 0)
+      return run();
+    vm.Deferred.emplace_back([&vm, generation, run] {
+      if (vm.Generation == generation)
+        run();
+    });
+  });
+}
+
+std::vector<std::string> ModelFleet::run() {
+  for (const auto &it : Vms)
+    at(Begin + between(Duration::zero(), ms(300)), [this, vm = it.get()] { start(*vm); });
+  planFaults();
+  for (TimePoint time = FaultsFrom; time < End; time += CheckInterval)
+    at(time, [this] { check(); });
+  at(FaultsFrom, [this] { StoreCalls = 0; });
+  while (!Events.empty() && Events.top().At < End) {
+    const Event event = Events.top();
+    Events.pop();
+    Now = event.At;
+    event.Run();
+  }
+  return Violations;
+}
+
+void ModelFleet::start(Vm &vm) {
+  ++vm.Generation;
+  const auto seed = Rng.below(UINT32_MAX);
+  const FleetVm self{.Ip = FirstAddress + static_cast<VmAddress>(vm.Index),
+                     .DataCentre =
+                         std::string(1, static_cast<char>('a' + vm.Index % Options.DataCentres)),
+                     .Incarnation = static_cast<std::uint64_t>(vm.Generation),
+                     .Weight = 100};
+  vm.Fleet = std::make_unique<FleetReplica>(
+      self, std::vector<VmAddress>{FirstAddress, FirstAddress + 1, FirstAddress + 2},
+      FreshnessLimits::forChangeDeadline(Options.ChangeDeadline), seed, Now);
+  vm.Sync = std::make_unique<StoreSync>(*vm.Fleet, seed);
+  vm.IsPulling = false;
+  vm.Deferred.clear();
+  vm.Fleet->members().setReady(true);
+  tick(vm);
+  syncWithStore(vm);
+}
+
+void ModelFleet::stop(Vm &vm) {
+  ++vm.Generation;
+  vm.Sync.reset();
+  vm.Fleet.reset();
+}
+
+void ModelFleet::tick(Vm &vm) {
+  send(vm, vm.Fleet->tick(Now));
+  inVm(vm, FleetMembership::GossipInterval + between(Duration::zero(), MaxTimerDelay),
+       [this, &vm] { tick(vm); });
+}
+
+void ModelFleet::send(Vm &from, const std::vector<FleetDatagram> &datagrams) {
+  for (const FleetDatagram &it : datagrams) {
+    Vm &to = vmAt(it.To);
+    if (!to.isRunning() || from.Cuts[ToVms] > 0 || to.Cuts[FromVms] > 0 || chance(DatagramLoss))
+      continue;
+    inVm(to, between(std::chrono::microseconds{300}, ms(3)),
+         [this, &to, message = it.Message] { receive(to, message); });
+  }
+}
+
+void ModelFleet::receive(Vm &vm, const FleetMessage &message) {
+  send(vm, vm.Fleet->didReceive(message, Now).Datagrams);
+  if (vm.IsPulling || !vm.Fleet->members().findPeerAhead(vm.Fleet->revision(), Now))
+    return;
+  vm.IsPulling = true;
+  inVm(vm, vm.Fleet->revision() == 0 ? Duration::zero() : PullDelay, [this, &vm] { pull(vm); });
+}
+
+void ModelFleet::pull(Vm &vm) {
+  const auto peer = vm.Fleet->members().findPeerAhead(vm.Fleet->revision(), Now);
+  if (!peer) {
+    vm.IsPulling = false;
+    return;
+  }
+  Vm &source = vmAt(*peer);
+  const StoreRevision after = vm.Fleet->revision();
+  const auto isOpen = [](const Vm &a, const Vm &b) {
+    return a.Cuts[ToVms] == 0 && b.Cuts[FromVms] == 0;
+  };
+  if (!source.isRunning() || source.Freezes > 0 || !isOpen(vm, source) || !isOpen(source, vm))
+    return inVm(vm, PullTimeout, [this, &vm] { endPull(vm, std::nullopt, {}, 0); });
+  const StoreDelta delta = source.Fleet->replica().changesSince(after);
+  inVm(vm, between(ms(2), ms(10)),
+       [this, &vm, peer, delta, after] { endPull(vm, peer, delta, after); });
+}
+
+void ModelFleet::endPull(Vm &vm, std::optional<VmAddress> peer, const StoreDelta &delta,
+                         StoreRevision after) {
+  if (peer)
+    send(vm, vm.Fleet->didReadPeer(delta, after, *peer, Now).Datagrams);
+  inVm(vm, PullRetry, [this, &vm] { pull(vm); });
+}
+
+void ModelFleet::syncWithStore(Vm &vm) {
+  const StoreCall call = vm.Sync->next(Now);
+  if (call.Step == StoreSyncStep::WaitForPeers)
+    return inVm(vm, vm.Sync->pause() + between(Duration::zero(), MaxTimerDelay),
+                [this, &vm] { syncWithStore(vm); });
+  callStore(vm, call);
+}
+
+void ModelFleet::callStore(Vm &vm, const StoreCall &call) {
+  ++StoreCalls;
+  const CallState state = std::make_shared<bool>(false);
+  inVm(vm, call.Timeout, [this, &vm, state] {
+    if (!std::exchange(*state, true))
+      endCall(vm, vm.Sync->didFail(StoreFailure::TimedOut, Now));
+  });
+  if (vm.Cuts[ToStore] > 0)
+    return;
+  const int generation = vm.Generation;
+  at(Now + between(ms(1), ms(3)), [this, &vm, call, state, generation] {
+    if (vm.Generation == generation)
+      answerCall(vm, call, state);
+  });
+}
+
+void ModelFleet::answerCall(Vm &vm, const StoreCall &call, const CallState &state) {
+  if (call.Step == StoreSyncStep::CheckRevision)
+    return respond(vm, state,
+                   [this, &vm, revision = Revision] { return vm.Sync->didCheck(revision, Now); });
+  if (call.Step == StoreSyncStep::ReadAll)
+    return respond(vm, state, [this, &vm, delta = changesAfter(0, true)] {
+      return vm.Sync->didReadAll(delta, Now);
+    });
+  const int generation = vm.Generation;
+  const auto watch = std::make_shared<OpenWatch>();
+  watch->Owner = &vm;
+  watch->Answer = [this, &vm, call, state, generation, watch = std::weak_ptr{watch}] {
+    const auto open = watch.lock();
+    if (!open || std::exchange(open->IsAnswered, true) || vm.Generation != generation)
+      return;
+    respond(vm, state, [this, &vm, delta = changesAfter(call.After, false)] {
+      return vm.Sync->didWatch(delta, Now);
+    });
+  };
+  if (Revision > call.After)
+    return watch->Answer();
+  Watches.push_back(watch);
+  at(Now + call.Wait, [watch] { watch->Answer(); });
+}
+
+void ModelFleet::respond(Vm &vm, const CallState &state, std::function<ReplicaUpdate()> take) {
+  if (vm.Cuts[FromStore] > 0)
+    return;
+  inVm(vm, StoreAnswerTime + between(ms(1), ms(3)), [this, &vm, state, take = std::move(take)] {
+    if (!std::exchange(*state, true))
+      endCall(vm, take());
+  });
+}
+
+void ModelFleet::endCall(Vm &vm, const ReplicaUpdate &update) {
+  send(vm, update.Datagrams);
+  inVm(vm, vm.Sync->pause() + between(Duration::zero(), MaxTimerDelay),
+       [this, &vm] { syncWithStore(vm); });
+}
+
+StoreDelta ModelFleet::changesAfter(StoreRevision revision, bool isComplete) const {
+  StoreDelta delta{.Items = {}, .IsComplete = isComplete, .AsOf = Revision};
+  for (const StoreItem &it : StoreItems)
+    if (isComplete || it.Revision > revision)
+      delta.Items.push_back(it);
+  return delta;
+}
+
+void ModelFleet::change() {
+  StoreItems[Rng.below(Keys)].Revision = ++Revision;
+  Changes.push_back({.Revision = Revision, .At = Now});
+  const auto open = std::exchange(Watches, {});
+  for (const auto &it : open)
+    it->Answer();
+}
+
+void ModelFleet::planFaults() {
+  for (TimePoint time = FaultsFrom; time < FaultsUntil; time += between(ms(200), ms(4000))) {
+    if (Options.HasFaults)
+      planFault(time);
+    // Many changes are acknowledged shortly before a fault or within a second after it.
+    if (chance(0.8))
+      at(time + between(-ms(100), ms(1000)), [this] { change(); });
+  }
+}
+
+void ModelFleet::planFault(TimePoint begin) {
+  at(begin, [this, begin] {
+    const auto victims = pickVictims();
+    const Duration length = between(ms(300), ms(6000));
+    const auto kind = Rng.below(3);
+    if (kind == 0)
+      losePower(victims, begin, length);
+    else if (kind == 1)
+      freeze(victims, begin, length);
+    else
+      cut(victims, begin, length);
+  });
+}
+
+std::vector<ModelFleet::Vm *> ModelFleet::pickVictims() {
+  const bool wantsReaders = chance(0.6);
+  const double share = std::array{0.0, 0.2, 0.6, 0.9}[Rng.below(4)];
+  const bool allDataCentres = chance(0.5);
+  std::vector<Vm *> victims;
+  for (const auto &it : Vms) {
+    if (!it->isRunning() || it->Freezes > 0)
+      continue;
+    const bool isReader = it->Fleet->members().isReader(Now);
+    const bool isReaderVictim = wantsReaders && isReader && (allDataCentres || victims.empty());
+    if (isReaderVictim || chance(share))
+      victims.push_back(it.get());
+  }
+  return victims;
+}
+
+void ModelFleet::endExcuse(Vm &vm) {
+  --vm.Excuses;
+  vm.ExcusedUntil = Now + SettleTime;
+}
+
+void ModelFleet::losePower(const std::vector<Vm *> &victims, TimePoint begin, Duration length) {
+  for (Vm *it : victims) {
+    beginExcuse(*it);
+    stop(*it);
+    at(begin + length + between(Duration::zero(), RestartDelay), [this, it] {
+      start(*it);
+      endExcuse(*it);
+    });
+  }
+}
+
+void ModelFleet::freeze(const std::vector<Vm *> &victims, TimePoint begin, Duration length) {
+  for (Vm *it : victims) {
+    beginExcuse(*it);
+    ++it->Freezes;
+    at(begin + length, [this, it] {
+      endExcuse(*it);
+      if (--it->Freezes > 0)
+        return;
+      for (const auto &run : std::exchange(it->Deferred, {}))
+        run();
+    });
+  }
+}
+
+void ModelFleet::cut(const std::vector<Vm *> &victims, TimePoint begin, Duration length) {
+  std::array<bool, 4> directions{};
+  for (bool &it : directions)
+    it = chance(0.6);
+  const bool isCutFromStore = directions[ToStore] || directions[FromStore];
+  for (Vm *vm : victims) {
+    if (isCutFromStore)
+      beginExcuse(*vm);
+    for (std::size_t n = 0; n < directions.size(); ++n)
+      vm->Cuts[n] += directions[n] ? 1 : 0;
+    at(begin + length, [this, vm, directions, isCutFromStore] {
+      for (std::size_t n = 0; n < directions.size(); ++n)
+        vm->Cuts[n] -= directions[n] ? 1 : 0;
+      if (isCutFromStore)
+        endExcuse(*vm);
+    });
+  }
+}
+
+bool ModelFleet::isInTouch(const Vm &vm) const {
+  return vm.isRunning() && vm.Excuses == 0 && Now >= vm.ExcusedUntil;
+}
+
+void ModelFleet::check() {
+  const auto isDue = [&](const Change &it) { return it.At + Options.ChangeDeadline <= Now; };
+  const auto due = std::ranges::find_if(Changes.rbegin(), Changes.rend(), isDue);
+  if (due == Changes.rend())
+    return;
+  for (const auto &it : Vms) {
+    if (!isInTouch(*it) || it->Fleet->revision() >= due->Revision ||
+        it->LastReported == due->Revision)
+      continue;
+    it->LastReported = due->Revision;
+    std::ostringstream line;
+    line << "VM " << it->Index << " of data centre " << it->Fleet->members().self().DataCentre
+         << " lacks revision " << due->Revision << " of " << toMilliseconds(due->At - Begin)
+         << " ms at " << toMilliseconds(Now - Begin) << " ms";
+    Violations.push_back(line.str());
+  }
+}
+
+} // namespace wigeonlift::test
--- /dev/null
+++ b/Tests/LibFleet/ModelFleet.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include <LibFleet/LibFleet.h>
+
+#include <array>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <string>
+#include <vector>
+
+namespace wigeonlift::test {
+
+struct ModelOptions {
+  int Vms = 12;
+  int DataCentres = 3;
+  /// Time within which each VM in touch must know an acknowledged change.
+  Duration ChangeDeadline = std::chrono::seconds{2};
+  /// Whether VMs lose power, freeze and are cut off.
+  bool HasFaults = true;
+};
+
+/// A fleet of VMs and a store that are connected by a simulated network. VMs run the code that
+/// decides what they send and ask; one seed gives one run. VMs lose power, freeze and are cut off
+/// from each other or from the store, in one or both directions, often within a second of a change.
+///
+/// A VM is in touch if for `SettleTime` its process ran and reached the store in both directions.
+/// The store works all the time, so a VM in touch must know each change in time, whatever happens
+/// to the other VMs.
+class ModelFleet {
+public:
+  ModelFleet(ModelOptions options, std::uint64_t seed);
+
+  /// Simulates the whole run. Returns a line for each change that a VM in touch didn't know in
+  /// time.
+  std::vector<std::string> run();
+  /// Calls to the store between the first change and the end of the run.
+  int storeCalls() const { return StoreCalls; }
+  static Duration measuredTime();
+
+private:
+  struct Vm {
+    int Index = 0;
+    /// Counts starts and losses of power, so that events of an earlier process are recognized.
+    int Generation = 0;
+    std::unique_ptr<FleetReplica> Fleet;
+    std::unique_ptr<StoreSync> Sync;
+    bool IsPulling = false;
+    int Freezes = 0;
+    /// What the process does when it wakes, in order.
+    std::deque<std::function<void()>> Deferred;
+    /// Cuts in force, by direction: to and from the store, to and from other VMs.
+    std::array<int, 4> Cuts{};
+    /// Faults in force that excuse the VM, and when the last one ended.
+    int Excuses = 0;
+    TimePoint ExcusedUntil{};
+    StoreRevision LastReported = 0;
+
+    bool isRunning() const { return Fleet != nullptr; }
+  };
+  enum Direction { ToStore, FromStore, ToVms, FromVms };
+
+  struct Event {
+    TimePoint At;
+    std::uint64_t Sequence;
+    std::function<void()> Run;
+    bool operator>(const Event &other) const {
+      return std::pair{At, Sequence} > std::pair{other.At, other.Sequence};
+    }
+  };
+  struct Change {
+    StoreRevision Revision;
+    TimePoint At;
+  };
+  struct OpenWatch {
+    Vm *Owner;
+    std::function<void()> Answer;
+    bool IsAnswered = false;
+  };
+  /// Makes sure that either the answer of a call or its timeout is handled.
+  using CallState = std::shared_ptr<bool>;
+
+  Duration between(Duration least, Duration most);
+  bool chance(double probability) { return Rng.unit() < probability; }
+  void at(TimePoint time, std::function<void()> run);
+  /// Runs something in a VM's process: not at all after it lost power, and later if it is frozen.
+  void inVm(Vm &vm, Duration delay, std::function<void()> run);
+
+  void start(Vm &vm);
+  void stop(Vm &vm);
+  void tick(Vm &vm);
+  void send(Vm &from, const std::vector<FleetDatagram> &datagrams);
+  void receive(Vm &vm, const FleetMessage &message);
+  void pull(Vm &vm);
+  void endPull(Vm &vm, std::optional<VmAddress> peer, const StoreDelta &delta, StoreRevision after);
+
+  void syncWithStore(Vm &vm);
+  void callStore(Vm &vm, const StoreCall &call);
+  void answerCall(Vm &vm, const StoreCall &call, const CallState &state);
+  void respond(Vm &vm, const CallState &state, std::function<ReplicaUpdate()> take);
+  void endCall(Vm &vm, const ReplicaUpdate &update);
+  StoreDelta changesAfter(StoreRevision revision, bool isComplete) const;
+  void change();
+
+  void planFaults();
+  void planFault(TimePoint begin);
+  std::vector<Vm *> pickVictims();
+  void beginExcuse(Vm &vm) { ++vm.Excuses; }
+  void endExcuse(Vm &vm);
+  void losePower(const std::vector<Vm *> &victims, TimePoint begin, Duration length);
+  void freeze(const std::vector<Vm *> &victims, TimePoint begin, Duration length);
+  void cut(const std::vector<Vm *> &victims, TimePoint begin, Duration length);
+  bool isInTouch(const Vm &vm) const;
+  void check();
+
+  Vm &vmAt(VmAddress address) { return *Vms[address - FirstAddress]; }
+
+  static constexpr VmAddress FirstAddress = 0x0a000001U;
+
+  ModelOptions Options;
+  Random Rng;
+  TimePoint Now;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> Events;
+  std::uint64_t EventCount = 0;
+  std::vector<std::unique_ptr<Vm>> Vms;
+  std::vector<StoreItem> StoreItems;
+  StoreRevision Revision = 1;
+  std::vector<Change> Changes;
+  std::vector<std::shared_ptr<OpenWatch>> Watches;
+  int StoreCalls = 0;
+  std::vector<std::string> Violations;
+};
+
+} // namespace wigeonlift::test
