LibDiscovery: End possible lease expiries within the drain timeout

An upstream whose entry is removed while some VM doesn't reach the store stays in use for 0.4 s, since its lease may have expired only because of that. The constant assumed that a VM learns of a removal within 1 s. With a silent reader it learns of it up to 1.6 s after the acknowledgement, and requests would go to an upstream that has left after more than the drain timeout of 2 s.

The grace period now ends 0.2 s before the drain timeout, counted from the time at which the VM's copy was last known to be complete: the removal cannot have been acknowledged earlier. A removal that is learnt later than that is final.

The new test has a removal that is learnt after 1.65 s; the old code kept the upstream until 2.05 s.

--- a/Libraries/LibDiscovery/ReplicaFreshness.h
+++ b/Libraries/LibDiscovery/ReplicaFreshness.h
@@ -51,15 +51,17 @@
   /// Empty until the replica is first confirmed.
   std::optional<TimePoint> confirmedAt() const { return ConfirmedAt; }
   /// Until the replica is first confirmed, the time since the start of the process.
-  Duration age(TimePoint now) const { return now - since(); }
+  Duration age(TimePoint now) const { return now - currentAt(); }
+  /// The latest time at which the replica is known to have had all changes. The start of the
+  /// process until the replica is first confirmed.
+  TimePoint currentAt() const { return ConfirmedAt.value_or(StartedAt); }
   /// When the store must have confirmed the replica again at the latest if this VM is the reader.
-  TimePoint confirmationDue() const { return since() + Limits.ConfirmInterval; }
+  TimePoint confirmationDue() const { return currentAt() + Limits.ConfirmInterval; }
   /// When the replica is too old to wait for other VMs any longer.
-  TimePoint expiresAt() const { return since() + AgeLimit; }
+  TimePoint expiresAt() const { return currentAt() + AgeLimit; }
   const FreshnessLimits &limits() const { return Limits; }
 
 private:
-  TimePoint since() const { return ConfirmedAt.value_or(StartedAt); }
   void drawAgeLimit() {
     AgeLimit = Limits.MinAgeLimit +
                fromSeconds(toSeconds(Limits.MaxAgeLimit - Limits.MinAgeLimit) * Rng.unit());
--- a/Libraries/LibDiscovery/UpstreamList.cpp
+++ b/Libraries/LibDiscovery/UpstreamList.cpp
@@ -10,8 +10,9 @@
 // Running upstreams register again within about 2 s after the store is reachable again.
 // StoreSyncPolicy.cpp has `LeaseRenewalTime` for the same reason.
 constexpr Duration ProbableExpiryGrace = std::chrono::milliseconds{2200};
-// Short enough that an upstream which has left gets no new requests after the drain timeout.
 constexpr Duration PossibleExpiryGrace = std::chrono::milliseconds{400};
+// A request that was assigned at the end of a grace period reaches the upstream within this time.
+constexpr Duration DispatchTime = std::chrono::milliseconds{200};
 
 } // namespace
 
@@ -33,14 +34,25 @@
   return hasChanged;
 }
 
-bool UpstreamList::didRemove(std::string_view id, RemovalKind removal, TimePoint now) {
+TimePoint UpstreamList::graceEnd(const EntryRemoval &removal, TimePoint now) const {
+  switch (removal.Kind) {
+  case RemovalKind::Final:
+    return now;
+  case RemovalKind::PossibleLeaseExpiry:
+    return std::min(now + PossibleExpiryGrace, removal.EarliestAt + DrainTimeout - DispatchTime);
+  case RemovalKind::ProbableLeaseExpiry:
+    return now + ProbableExpiryGrace;
+  }
+  return now;
+}
+
+bool UpstreamList::didRemove(std::string_view id, const EntryRemoval &removal, TimePoint now) {
   const auto it = Upstreams.find(id);
   if (it == Upstreams.end())
     return false;
-  if (removal != RemovalKind::Final && !it->second.IsDraining) {
-    PendingRemovals.emplace(it->first, now + (removal == RemovalKind::ProbableLeaseExpiry
-                                                  ? ProbableExpiryGrace
-                                                  : PossibleExpiryGrace));
+  const TimePoint end = graceEnd(removal, now);
+  if (end > now && !it->second.IsDraining) {
+    PendingRemovals.emplace(it->first, end);
     return false;
   }
   PendingRemovals.erase(it->first);
--- a/Libraries/LibDiscovery/UpstreamList.h
+++ b/Libraries/LibDiscovery/UpstreamList.h
@@ -46,18 +46,29 @@
   ProbableLeaseExpiry,
 };
 
+/// What a VM knows about the removal of entries.
+struct EntryRemoval {
+  RemovalKind Kind = RemovalKind::Final;
+  /// The store acknowledged the removal at this time or later.
+  TimePoint EarliestAt{};
+};
+
 /// The registered upstreams of all services, as the entries in the store describe them.
 ///
 /// An upstream whose entry is removed leaves the list at once. The exception are upstreams that
 /// weren't draining and whose leases may have expired because the store was unreachable: they leave
-/// the list if they don't register again within a grace period.
+/// the list if they don't register again within a grace period. The grace period of a possible
+/// expiry ends early enough for the drain timeout, counted from the earliest time at which the
+/// upstream may have left.
 class UpstreamList {
 public:
+  explicit UpstreamList(Duration drainTimeout) : DrainTimeout(drainTimeout) {}
+
   /// An entry was written. Returns whether the list changed in anything but the remaining warm-up
   /// time. An entry of an earlier process than the listed one only ends a grace period.
   bool didWrite(UpstreamRecord record, TimePoint now);
   /// An entry was removed or became unreadable. Returns whether the upstream left the list.
-  bool didRemove(std::string_view id, RemovalKind removal, TimePoint now);
+  bool didRemove(std::string_view id, const EntryRemoval &removal, TimePoint now);
   /// Removes upstreams whose grace period is over. Returns whether any was removed.
   bool applyDueRemovals(TimePoint now);
   /// When the next grace period ends; empty if no removal is pending.
@@ -68,6 +79,9 @@
   std::vector<UpstreamRecord> usable(std::string_view service) const;
 
 private:
+  TimePoint graceEnd(const EntryRemoval &removal, TimePoint now) const;
+
+  Duration DrainTimeout;
   std::map<std::string, UpstreamRecord, std::less<>> Upstreams;
   /// Ids of the upstreams that are in a grace period, and when it ends.
   std::map<std::string, TimePoint, std::less<>> PendingRemovals;
--- a/Libraries/LibFleet/FleetReplica.cpp
+++ b/Libraries/LibFleet/FleetReplica.cpp
@@ -26,7 +26,8 @@
 }
 
 ReplicaUpdate FleetReplica::didReceive(const FleetMessage &message, TimePoint now) {
-  ReplicaUpdate update{.Datagrams = Members.didReceive(message, now)};
+  ReplicaUpdate update{.Datagrams = Members.didReceive(message, now),
+                       .ChangesFrom = Freshness.currentAt()};
   if (message.Delta && Replica.revision() >= message.DeltaAfter &&
       message.Delta->AsOf > Replica.revision())
     apply(*message.Delta, message.DeltaAfter, scopeOfChangesFrom(message.Sender.Ip), now, update);
@@ -56,15 +57,16 @@
 ReplicaUpdate FleetReplica::didReadStore(const StoreDelta &delta, StoreRevision after,
                                          TimePoint confirmedAt, TimePoint now) {
   Members.didReachStore(now);
+  ReplicaUpdate update{.ChangesFrom = Freshness.currentAt()};
+  // The messages that pass the changes on contain the new age.
   didConfirm(confirmedAt);
-  ReplicaUpdate update;
   apply(delta, after, PropagationScope::LocalVmsAndRemoteReaders, now, update);
   return update;
 }
 
 ReplicaUpdate FleetReplica::didReadPeer(const StoreDelta &delta, StoreRevision after,
                                         VmAddress peer, TimePoint now) {
-  ReplicaUpdate update;
+  ReplicaUpdate update{.ChangesFrom = Freshness.currentAt()};
   apply(delta, after, scopeOfChangesFrom(peer), now, update);
   return update;
 }
--- a/Libraries/LibFleet/FleetReplica.h
+++ b/Libraries/LibFleet/FleetReplica.h
@@ -13,6 +13,8 @@
   std::vector<FleetDatagram> Datagrams{};
   /// Keys that changed in the replica, sorted by revision.
   std::vector<StoreItem> Changes{};
+  /// The store acknowledged the changes at this time or later.
+  TimePoint ChangesFrom{};
   /// What the removals among the changes mean.
   StoreOutage Outage = StoreOutage::None;
 };
--- a/Services/Gateway/FleetTask.cpp
+++ b/Services/Gateway/FleetTask.cpp
@@ -228,7 +228,8 @@
 void FleetTask::publish(const ReplicaUpdate &update, std::string_view source) {
   send(update.Datagrams);
   if (!update.Changes.empty())
-    Owner.didLearn(update.Changes, source, removalMeans(update.Outage));
+    Owner.didLearn(update.Changes, source,
+                   {.Kind = removalMeans(update.Outage), .EarliestAt = update.ChangesFrom});
 }
 
 void FleetTask::send(const std::vector<FleetDatagram> &sends) {
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -40,8 +40,9 @@
 Gateway::Gateway(boost::asio::io_context &context, const GatewaySettings &settings, EventLog &log,
                  std::uint64_t seed)
     : Context(context), Settings(settings), Log(log), Requests(log), Seed(seed), Rng(seed),
-      Bodies(bodyLimit(settings)), HeldAnswers(bodyLimit(settings)), Begin(bootTimeNow()),
-      LapseTimer(context), MaintainedAt(bootTimeNow()) {}
+      Upstreams(settings.Bounds.DrainTimeout), Bodies(bodyLimit(settings)),
+      HeldAnswers(bodyLimit(settings)), Begin(bootTimeNow()), LapseTimer(context),
+      MaintainedAt(bootTimeNow()) {}
 
 asio::awaitable<void> Gateway::awaitConfiguration(TimePoint end) {
   asio::steady_timer timer{Context};
@@ -52,7 +53,7 @@
 }
 
 void Gateway::didLearn(std::span<const StoreItem> changes, std::string_view source,
-                       RemovalKind removals) {
+                       const EntryRemoval &removals) {
   const TimePoint now = bootTimeNow();
   bool hasChanged = false;
   for (const StoreItem &it : changes) {
@@ -105,8 +106,8 @@
              {"from", std::string{source}}});
 }
 
-bool Gateway::didLearnUpstream(const StoreItem &item, std::string_view id, RemovalKind removal,
-                               TimePoint now) {
+bool Gateway::didLearnUpstream(const StoreItem &item, std::string_view id,
+                               const EntryRemoval &removal, TimePoint now) {
   auto record = item.IsRemoved ? std::nullopt : platform::decodeUpstreamRecord(id, item.Value);
   if (!record) {
     if (!Upstreams.didRemove(id, removal, now))
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -42,7 +42,8 @@
           std::uint64_t seed);
 
   /// Takes over keys of the store that have changed.
-  void didLearn(std::span<const StoreItem> changes, std::string_view source, RemovalKind removals);
+  void didLearn(std::span<const StoreItem> changes, std::string_view source,
+                const EntryRemoval &removals);
   void setSettings(const GatewaySettings &settings);
   /// Share of the fleet's budgets that this VM may spend.
   void setBudgetShare(double share);
@@ -78,7 +79,7 @@
 
 private:
   void didLearnPlan(const StoreItem &item, std::string_view source);
-  bool didLearnUpstream(const StoreItem &item, std::string_view id, RemovalKind removal,
+  bool didLearnUpstream(const StoreItem &item, std::string_view id, const EntryRemoval &removal,
                         TimePoint now);
   void refreshServices();
   /// Drops lapsed upstreams right when their time is over.
--- a/Tests/Gateway/GatewayFixture.cpp
+++ b/Tests/Gateway/GatewayFixture.cpp
@@ -88,7 +88,7 @@
              R"("state":"ready","warmup-remaining":"0ms","sequence":1,"born":1}})",
              it->address()),
          .Revision = items.size() + 1});
-  Core.didLearn(items, "test", RemovalKind::Final);
+  Core.didLearn(items, "test", {});
 }
 
 std::shared_ptr<RawCaller> GatewayFixture::connect() {
--- a/Tests/LibDiscovery/TestUpstreamList.cpp
+++ b/Tests/LibDiscovery/TestUpstreamList.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr TimePoint Start{std::chrono::seconds{100}};
+constexpr Duration DrainTimeout = std::chrono::seconds{2};
 
 UpstreamRecord record(std::string id, std::uint64_t startedAtMs = 1) {
   return {.Id = std::move(id),
@@ -21,24 +22,26 @@
 
 // Guards against new requests to an upstream that drains or whose entry was removed.
 TEST(UpstreamList, LeavesOutDrainingAndRemovedUpstreams) {
-  UpstreamList list;
+  UpstreamList list{DrainTimeout};
   list.didWrite(record("x"), Start);
   list.didWrite(record("y"), Start);
   UpstreamRecord draining = record("x");
   draining.IsDraining = true;
   EXPECT_TRUE(list.didWrite(draining, Start));
-  EXPECT_TRUE(list.didRemove("y", RemovalKind::Final, Start));
+  EXPECT_TRUE(list.didRemove("y", {.Kind = RemovalKind::Final, .EarliestAt = Start}, Start));
   EXPECT_TRUE(list.usable("rankview").empty());
 }
 
 // Guards against the loss of all upstreams after an outage of the store. Their leases expire in the
 // outage, and they need some seconds to register again.
 TEST(UpstreamList, KeepsProbablyExpiredUpstreamsForAGracePeriod) {
-  UpstreamList list;
+  UpstreamList list{DrainTimeout};
   list.didWrite(record("x"), Start);
   list.didWrite(record("y"), Start);
-  EXPECT_FALSE(list.didRemove("x", RemovalKind::ProbableLeaseExpiry, Start));
-  EXPECT_FALSE(list.didRemove("y", RemovalKind::ProbableLeaseExpiry, Start));
+  EXPECT_FALSE(
+      list.didRemove("x", {.Kind = RemovalKind::ProbableLeaseExpiry, .EarliestAt = Start}, Start));
+  EXPECT_FALSE(
+      list.didRemove("y", {.Kind = RemovalKind::ProbableLeaseExpiry, .EarliestAt = Start}, Start));
   list.didWrite(record("x"), Start + std::chrono::milliseconds{1900});
   EXPECT_EQ(list.usable("rankview").size(), 2U);
   EXPECT_TRUE(list.applyDueRemovals(Start + std::chrono::milliseconds{2500}));
@@ -50,9 +53,9 @@
 // could not reach the store. In the benchmark run kapokki scale-2, such requests came 2,031 to
 // 2,287 ms after the removal was acknowledged.
 TEST(UpstreamList, PossibleExpiriesEndWithinTheDrainTimeout) {
-  UpstreamList list;
+  UpstreamList list{DrainTimeout};
   list.didWrite(record("x"), Start);
-  list.didRemove("x", RemovalKind::PossibleLeaseExpiry, Start);
+  list.didRemove("x", {.Kind = RemovalKind::PossibleLeaseExpiry, .EarliestAt = Start}, Start);
   // The drain timeout of 2 s begins when the removal is acknowledged. The removal arrives up to 1 s
   // later, and the grace period begins then. A request sent at its end still needs some of the 2 s.
   ASSERT_TRUE(list.nextRemovalDue());
@@ -61,19 +64,35 @@
   EXPECT_TRUE(list.usable("rankview").empty());
 }
 
+// Guards against new requests after the drain timeout to an upstream that left, if the VM learns
+// this late because other VMs fell silent.
+TEST(UpstreamList, PossibleExpiriesThatAreLearntLateEndWithinTheDrainTimeout) {
+  UpstreamList list{DrainTimeout};
+  list.didWrite(record("x"), Start);
+  list.didWrite(record("y"), Start);
+  const TimePoint learntAt = Start + std::chrono::milliseconds{1650};
+  list.didRemove("x", {.Kind = RemovalKind::PossibleLeaseExpiry, .EarliestAt = Start}, learntAt);
+  ASSERT_TRUE(list.nextRemovalDue());
+  EXPECT_LT(*list.nextRemovalDue(), Start + DrainTimeout);
+  const TimePoint tooLate = Start + DrainTimeout;
+  EXPECT_TRUE(list.didRemove("y", {.Kind = RemovalKind::PossibleLeaseExpiry, .EarliestAt = Start},
+                             tooLate));
+}
+
 // Guards against a draining upstream that stays listed because its removal is mistaken for an
 // expired lease.
 TEST(UpstreamList, DrainingUpstreamsGetNoGracePeriod) {
-  UpstreamList list;
+  UpstreamList list{DrainTimeout};
   UpstreamRecord draining = record("x");
   draining.IsDraining = true;
   list.didWrite(draining, Start);
-  EXPECT_TRUE(list.didRemove("x", RemovalKind::ProbableLeaseExpiry, Start));
+  EXPECT_TRUE(
+      list.didRemove("x", {.Kind = RemovalKind::ProbableLeaseExpiry, .EarliestAt = Start}, Start));
 }
 
 // Guards against a late entry of an earlier process that replaces the entry of the running one.
 TEST(UpstreamList, EarlierIncarnationsAreIgnored) {
-  UpstreamList list;
+  UpstreamList list{DrainTimeout};
   list.didWrite(record("x", 20), Start);
   EXPECT_FALSE(list.didWrite(record("x", 10), Start));
   EXPECT_EQ(list.usable("rankview")[0].StartedAtMs, 20U);
@@ -81,7 +100,7 @@
 
 // Guards against an update on all VMs each time an upstream publishes its remaining warm-up time.
 TEST(UpstreamList, RemainingWarmUpIsNoChange) {
-  UpstreamList list;
+  UpstreamList list{DrainTimeout};
   UpstreamRecord warmingUp = record("x");
   warmingUp.Warmup = std::chrono::seconds{3};
   EXPECT_TRUE(list.didWrite(warmingUp, Start));
