LibFleet: Date confirmations of copies by the clock of who asked the store

A VM had frozen for a second. The messages that arrived meanwhile told the age of their sender's copy when they were sent; the VM took its own copy for as young when it read them, and told others, which had not frozen. The check for pauses saw only those of 1.5 s and more.

A confirmation is now a time on the clock of the VM that the store answered, and each message says when it was sent on its sender's clock. PeerClocks keeps the smallest difference seen between two clocks, so messages that waited change nothing, and what is passed on stays as exact as it was. The check for pauses is gone. VMs in the model now have different clocks.

--- a/Libraries/LibDiscovery/ReplicaFreshness.h
+++ b/Libraries/LibDiscovery/ReplicaFreshness.h
@@ -40,12 +40,14 @@
     drawAgeLimit();
   }
 
-  /// The replica has all changes that the store had acknowledged at `confirmedAt`.
-  void didConfirm(TimePoint confirmedAt) {
+  /// The replica has all changes that the store had acknowledged at `confirmedAt`. Returns whether
+  /// that is later than what was known.
+  bool didConfirm(TimePoint confirmedAt) {
     if (ConfirmedAt && confirmedAt <= *ConfirmedAt)
-      return;
+      return false;
     ConfirmedAt = confirmedAt;
     drawAgeLimit();
+    return true;
   }
 
   /// Empty until the replica is first confirmed.
--- a/Libraries/LibFleet/FleetCodec.cpp
+++ b/Libraries/LibFleet/FleetCodec.cpp
@@ -18,8 +18,6 @@
   out.set_weight(vm.Weight);
   out.set_revision(vm.Revision);
   out.set_contact_age_ms(vm.StoreContactAgeMs);
-  if (vm.ReplicaAgeMs)
-    out.set_replica_age_ms_plus_one(*vm.ReplicaAgeMs + 1);
 }
 
 FleetVm decode(const fleetwire::Vm &in) {
@@ -31,13 +29,20 @@
           .IsStopping = (in.flags() & StoppingFlag) != 0,
           .IsStoreDisconnected = (in.flags() & StoreDisconnectedFlag) != 0,
           .StoreContactAgeMs = in.contact_age_ms(),
-          .ReplicaAgeMs = in.replica_age_ms_plus_one() > 0
-                              ? std::optional{in.replica_age_ms_plus_one() - 1}
-                              : std::nullopt,
           .Weight = in.weight(),
           .Revision = in.revision()};
 }
 
+void encode(const ClockReading &reading, fleetwire::ClockReading &out) {
+  out.set_ip(reading.Vm);
+  out.set_incarnation(reading.Incarnation);
+  out.set_ms(reading.Ms);
+}
+
+ClockReading decode(const fleetwire::ClockReading &in) {
+  return {.Vm = in.ip(), .Incarnation = in.incarnation(), .Ms = in.ms()};
+}
+
 void encode(const StoreDelta &delta, StoreRevision deltaAfter, fleetwire::Delta &out) {
   out.set_complete(delta.IsComplete);
   out.set_after(deltaAfter);
@@ -73,6 +78,9 @@
   for (const FleetVm &it : message.Others)
     encode(it, *out.add_others());
   out.set_wants_answer(message.WantsAnswer);
+  out.set_sent_at_ms(message.SentAtMs);
+  if (message.ReplicaConfirmedAt)
+    encode(*message.ReplicaConfirmedAt, *out.mutable_replica_confirmed_at());
   if (message.Delta)
     encode(*message.Delta, message.DeltaAfter, *out.mutable_delta());
   return out.SerializeAsString();
@@ -83,12 +91,16 @@
   if (!parse(in, bytes) || in.sender().ip() == 0)
     return std::nullopt;
   FleetMessage message{.Sender = decode(in.sender()),
+                       .SentAtMs = in.sent_at_ms(),
+                       .ReplicaConfirmedAt = {},
                        .Others = {},
                        .WantsAnswer = in.wants_answer(),
                        .Delta = {},
                        .DeltaAfter = in.delta().after()};
   for (const auto &it : in.others())
     message.Others.push_back(decode(it));
+  if (in.has_replica_confirmed_at())
+    message.ReplicaConfirmedAt = decode(in.replica_confirmed_at());
   if (in.has_delta())
     message.Delta = decode(in.delta());
   return message;
--- a/Libraries/LibFleet/FleetMembership.cpp
+++ b/Libraries/LibFleet/FleetMembership.cpp
@@ -60,7 +60,7 @@
   std::vector<FleetDatagram> datagrams;
   for (const auto &[ip, peer] : Peers)
     if (isAlive(peer, now))
-      datagrams.push_back({.To = ip, .Message = {.Sender = selfAt(now)}});
+      datagrams.push_back({.To = ip, .Message = messageWithSelf(now)});
   return datagrams;
 }
 
@@ -74,22 +74,30 @@
   std::vector<FleetDatagram> datagrams;
   for (const FleetVm &it : readerCandidates(Self.DataCentre, now))
     if (it.Ip != Self.Ip && datagrams.size() < NextReadersNotified)
-      datagrams.push_back({.To = it.Ip, .Message = {.Sender = selfAt(now)}});
+      datagrams.push_back({.To = it.Ip, .Message = messageWithSelf(now)});
   return datagrams;
 }
 
 FleetVm FleetMembership::selfAt(TimePoint now) const {
-  const auto ageMs = [&](TimePoint since) {
-    constexpr Duration maxAge = std::chrono::hours{1};
-    return static_cast<std::uint32_t>(toMilliseconds(std::min(maxAge, now - since)));
-  };
+  constexpr Duration maxAge = std::chrono::hours{1};
   FleetVm vm = Self;
-  vm.StoreContactAgeMs = ageMs(StoreContactAt);
-  if (ReplicaConfirmedAt)
-    vm.ReplicaAgeMs = ageMs(*ReplicaConfirmedAt);
+  vm.StoreContactAgeMs =
+      static_cast<std::uint32_t>(toMilliseconds(std::min(maxAge, now - StoreContactAt)));
   return vm;
 }
 
+ClockReading FleetMembership::clockReading(TimePoint time) const {
+  return {.Vm = Self.Ip,
+          .Incarnation = Self.Incarnation,
+          .Ms = static_cast<std::uint64_t>(toMilliseconds(time.time_since_epoch()))};
+}
+
+FleetMessage FleetMembership::messageWithSelf(TimePoint now) const {
+  return {.Sender = selfAt(now),
+          .SentAtMs = clockReading(now).Ms,
+          .ReplicaConfirmedAt = ReplicaConfirmedAt};
+}
+
 std::vector<FleetDatagram> FleetMembership::tick(TimePoint now) {
   ++TickCount;
   ++Self.HeartbeatCount;
@@ -149,7 +157,9 @@
     std::ranges::shuffle(receivers, Rng.engine());
     receivers.resize(std::min(receivers.size(), FewLocalReceivers));
   }
-  const FleetMessage out{.Sender = selfAt(now), .Delta = delta, .DeltaAfter = deltaAfter};
+  FleetMessage out = messageWithSelf(now);
+  out.Delta = delta;
+  out.DeltaAfter = deltaAfter;
   std::vector<FleetDatagram> datagrams;
   datagrams.reserve(receivers.size());
   for (const VmAddress it : receivers)
@@ -159,7 +169,7 @@
 
 std::vector<FleetDatagram> FleetMembership::announce(TimePoint now) {
   ++Self.HeartbeatCount;
-  const FleetMessage out{.Sender = selfAt(now)};
+  const FleetMessage out = messageWithSelf(now);
   std::vector<FleetDatagram> datagrams;
   for (const auto &[ip, peer] : Peers)
     if (isInOwnDataCentre(peer.Vm) && isAlive(peer, now))
@@ -167,6 +177,15 @@
   return datagrams;
 }
 
+std::optional<FleetDatagram> FleetMembership::askReader(TimePoint now) const {
+  const auto reader = otherReader(now);
+  if (!reader)
+    return std::nullopt;
+  FleetDatagram datagram{.To = reader->Ip, .Message = messageWithSelf(now)};
+  datagram.Message.WantsAnswer = true;
+  return datagram;
+}
+
 bool FleetMembership::isInOwnDataCentre(VmAddress vm) const {
   const auto it = Peers.find(vm);
   return it != Peers.end() && isInOwnDataCentre(it->second.Vm);
@@ -216,7 +235,7 @@
 }
 
 FleetMessage FleetMembership::composeMessage(bool isToRemote, TimePoint now) {
-  FleetMessage out{.Sender = selfAt(now)};
+  FleetMessage out = messageWithSelf(now);
   for (const Peer *it :
        mostRecentlyHeard(true, isToRemote ? MaxLocalOthersToRemote : MaxLocalOthers, now))
     out.Others.push_back(it->Vm);
--- a/Libraries/LibFleet/FleetMessage.h
+++ b/Libraries/LibFleet/FleetMessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibDiscovery/LibDiscovery.h>
+#include <LibFleet/PeerClocks.h>
 #include <LibFleet/VmAddress.h>
 
 #include <cstdint>
@@ -26,10 +27,6 @@
   /// Time since the store last answered a call of this VM, as of the VM's last tick or the later
   /// moment in which its calls began to fail. It also increases while the VM makes no calls.
   std::uint32_t StoreContactAgeMs = UINT32_MAX;
-  /// Age of the VM's replica of the store when the VM sent this state, if known: the replica has
-  /// all changes that the store had acknowledged this long before. Only the sender's own state in a
-  /// message says something about the present.
-  std::optional<std::uint32_t> ReplicaAgeMs{};
   /// Capacity for callers, relative to the weights of other VMs.
   std::uint32_t Weight = 1;
   /// Revision of the VM's replica of the store.
@@ -41,6 +38,11 @@
 /// A datagram between VMs.
 struct FleetMessage {
   FleetVm Sender;
+  /// On the sender's clock; 0 if unknown.
+  std::uint64_t SentAtMs = 0;
+  /// The sender's replica has all changes that the store had acknowledged by then, on the clock of
+  /// the VM that asked the store. Empty until that is known.
+  std::optional<ClockReading> ReplicaConfirmedAt{};
   /// States of VMs other than the sender.
   std::vector<FleetVm> Others{};
   bool WantsAnswer = false;
--- a/Libraries/LibFleet/FleetReplica.cpp
+++ b/Libraries/LibFleet/FleetReplica.cpp
@@ -7,22 +7,14 @@
 
 namespace wigeonlift {
 
-namespace {
-
-// Longer than ticks are delayed on a busy VM.
-constexpr Duration PauseLimit = 3 * FleetMembership::GossipInterval;
-
-} // namespace
-
 std::vector<FleetDatagram> FleetReplica::tick(TimePoint now) {
-  if (mayHavePaused(now))
-    IgnoreAgesUntil = now + FleetMembership::GossipInterval;
-  TickedAt = now;
-  return Members.tick(now);
-}
-
-bool FleetReplica::mayHavePaused(TimePoint now) const {
-  return now - TickedAt > PauseLimit || now < IgnoreAgesUntil;
+  Clocks.expire(now);
+  auto datagrams = Members.tick(now);
+  // The message with which the reader tells that its replica was confirmed may be lost.
+  if (now >= Freshness.confirmationDue())
+    if (auto question = Members.askReader(now))
+      datagrams.push_back(*std::move(question));
+  return datagrams;
 }
 
 ReplicaUpdate FleetReplica::didReceive(const FleetMessage &message, TimePoint now) {
@@ -31,18 +23,33 @@
   if (message.Delta && Replica.revision() >= message.DeltaAfter &&
       message.Delta->AsOf > Replica.revision())
     apply(*message.Delta, message.DeltaAfter, scopeOfChangesFrom(message.Sender.Ip), now, update);
-  didReceiveAge(message.Sender, now);
+  didReceiveConfirmation(message, now);
   return update;
 }
 
-void FleetReplica::didReceiveAge(const FleetVm &sender, TimePoint now) {
-  if (sender.ReplicaAgeMs && sender.Revision <= Replica.revision() && !mayHavePaused(now))
-    didConfirm(now - std::chrono::milliseconds{*sender.ReplicaAgeMs});
+void FleetReplica::didReceiveConfirmation(const FleetMessage &message, TimePoint now) {
+  const FleetVm &sender = message.Sender;
+  if (message.SentAtMs > 0)
+    Clocks.didReceive({.Vm = sender.Ip, .Incarnation = sender.Incarnation, .Ms = message.SentAtMs},
+                      now);
+  if (!message.ReplicaConfirmedAt || sender.Revision > Replica.revision())
+    return;
+  if (const auto confirmedAt = toOwnClock(*message.ReplicaConfirmedAt))
+    didConfirm(*message.ReplicaConfirmedAt, std::min(*confirmedAt, now));
+}
+
+std::optional<TimePoint> FleetReplica::toOwnClock(const ClockReading &reading) const {
+  // What this VM has confirmed itself comes back from the others.
+  return reading.Vm == Members.self().Ip ? std::nullopt : Clocks.toOwnClock(reading);
 }
 
 void FleetReplica::didConfirm(TimePoint confirmedAt) {
-  Freshness.didConfirm(confirmedAt);
-  Members.setReplicaConfirmedAt(*Freshness.confirmedAt());
+  didConfirm(Members.clockReading(confirmedAt), confirmedAt);
+}
+
+void FleetReplica::didConfirm(const ClockReading &reading, TimePoint confirmedAt) {
+  if (Freshness.didConfirm(confirmedAt))
+    Members.setReplicaConfirmedAt(reading);
 }
 
 std::vector<FleetDatagram> FleetReplica::announceAge(const ReplicaUpdate &update, TimePoint now) {
--- a/Libraries/LibFleet/FleetReplica.h
+++ b/Libraries/LibFleet/FleetReplica.h
@@ -27,7 +27,7 @@
   FleetReplica(FleetVm self, std::vector<VmAddress> seeds, FreshnessLimits limits,
                std::uint64_t rngSeed, TimePoint startedAt)
       : Members(std::move(self), std::move(seeds), rngSeed, startedAt),
-        Freshness(limits, rngSeed, startedAt), TickedAt(startedAt) {}
+        Freshness(limits, rngSeed, startedAt) {}
 
   /// Returns the regular messages; to be called every `FleetMembership::GossipInterval`.
   std::vector<FleetDatagram> tick(TimePoint now);
@@ -38,7 +38,8 @@
   /// acknowledged at `confirmedAt`.
   ReplicaUpdate didReadStore(const StoreDelta &delta, StoreRevision after, TimePoint confirmedAt,
                              TimePoint now);
-  /// The store had acknowledged no later change at `confirmedAt` than those in the replica.
+  /// The store answered this VM: it had acknowledged no later change at `confirmedAt` than those in
+  /// the replica.
   void didConfirm(TimePoint confirmedAt);
   /// Returns messages that tell the other VMs of the data centre how recent this replica is, for
   /// those that `update` sends nothing to.
@@ -57,16 +58,14 @@
   void apply(const StoreDelta &delta, StoreRevision after, PropagationScope scope, TimePoint now,
              ReplicaUpdate &update);
   PropagationScope scopeOfChangesFrom(VmAddress peer) const;
-  /// Whether messages of other VMs may have waited in the socket while this process stood still.
-  bool mayHavePaused(TimePoint now) const;
-  void didReceiveAge(const FleetVm &sender, TimePoint now);
+  void didReceiveConfirmation(const FleetMessage &message, TimePoint now);
+  void didConfirm(const ClockReading &reading, TimePoint confirmedAt);
+  std::optional<TimePoint> toOwnClock(const ClockReading &reading) const;
 
   FleetMembership Members;
   StoreReplica Replica;
   ReplicaFreshness Freshness;
-  TimePoint TickedAt;
-  /// Until then, ages in messages are ignored, because the process has stood still.
-  TimePoint IgnoreAgesUntil{};
+  PeerClocks Clocks;
 };
 
 } // namespace wigeonlift
--- a/Libraries/LibFleet/LibFleet.h
+++ b/Libraries/LibFleet/LibFleet.h
@@ -5,5 +5,6 @@
 #include <LibFleet/FleetMembership.h>
 #include <LibFleet/FleetMessage.h>
 #include <LibFleet/FleetReplica.h>
+#include <LibFleet/PeerClocks.h>
 #include <LibFleet/StoreSync.h>
 #include <LibFleet/VmAddress.h>
--- a/Tests/LibFleet/ModelFleet.cpp
+++ b/Tests/LibFleet/ModelFleet.cpp
@@ -23,12 +23,14 @@
 constexpr Duration RestartDelay = ms(50);
 constexpr Duration StoreAnswerTime = ms(4);
 constexpr double DatagramLoss = 0.01;
+// A clock starts anew when its VM does.
+constexpr Duration MaxClockOffset = std::chrono::seconds{900};
 constexpr int Keys = 20;
 
 } // namespace
 
 ModelFleet::ModelFleet(ModelOptions options, std::uint64_t seed)
-    : Options(options), Rng(seed), Now(Begin) {
+    : Options(options), Rng(seed), ClockRng(seed), Now(Begin) {
   for (int n = 0; n < Keys; ++n)
     StoreItems.push_back({.Key = "k" + std::to_string(n), .Value = "v", .Revision = 1});
   for (int n = 0; n < options.Vms; ++n) {
@@ -82,6 +84,7 @@
 
 void ModelFleet::start(Vm &vm) {
   ++vm.Generation;
+  vm.ClockOffset = fromSeconds(toSeconds(MaxClockOffset) * (2 * ClockRng.unit() - 1));
   const auto seed = Rng.below(UINT32_MAX);
   const FleetVm self{.Ip = FirstAddress + static_cast<VmAddress>(vm.Index),
                      .DataCentre =
@@ -90,7 +93,7 @@
                      .Weight = 100};
   vm.Fleet = std::make_unique<FleetReplica>(
       self, std::vector<VmAddress>{FirstAddress, FirstAddress + 1, FirstAddress + 2},
-      FreshnessLimits::forChangeDeadline(Options.ChangeDeadline), seed, Now);
+      FreshnessLimits::forChangeDeadline(Options.ChangeDeadline), seed, clockOf(vm));
   vm.Sync = std::make_unique<StoreSync>(*vm.Fleet, seed);
   vm.IsPulling = false;
   vm.Deferred.clear();
@@ -106,7 +109,7 @@
 }
 
 void ModelFleet::tick(Vm &vm) {
-  send(vm, vm.Fleet->tick(Now));
+  send(vm, vm.Fleet->tick(clockOf(vm)));
   inVm(vm, FleetMembership::GossipInterval + between(Duration::zero(), MaxTimerDelay),
        [this, &vm] { tick(vm); });
 }
@@ -125,15 +128,15 @@
 }
 
 void ModelFleet::receive(Vm &vm, const FleetMessage &message) {
-  send(vm, vm.Fleet->didReceive(message, Now).Datagrams);
-  if (vm.IsPulling || !vm.Fleet->members().findPeerAhead(vm.Fleet->revision(), Now))
+  send(vm, vm.Fleet->didReceive(message, clockOf(vm)).Datagrams);
+  if (vm.IsPulling || !vm.Fleet->members().findPeerAhead(vm.Fleet->revision(), clockOf(vm)))
     return;
   vm.IsPulling = true;
   inVm(vm, vm.Fleet->revision() == 0 ? Duration::zero() : PullDelay, [this, &vm] { pull(vm); });
 }
 
 void ModelFleet::pull(Vm &vm) {
-  const auto peer = vm.Fleet->members().findPeerAhead(vm.Fleet->revision(), Now);
+  const auto peer = vm.Fleet->members().findPeerAhead(vm.Fleet->revision(), clockOf(vm));
   if (!peer) {
     vm.IsPulling = false;
     return;
@@ -153,14 +156,14 @@
 void ModelFleet::endPull(Vm &vm, std::optional<VmAddress> peer, const StoreDelta &delta,
                          StoreRevision after) {
   if (peer)
-    send(vm, vm.Fleet->didReadPeer(delta, after, *peer, Now).Datagrams);
+    send(vm, vm.Fleet->didReadPeer(delta, after, *peer, clockOf(vm)).Datagrams);
   inVm(vm, PullRetry, [this, &vm] { pull(vm); });
 }
 
 void ModelFleet::syncWithStore(Vm &vm) {
-  const StoreCall call = vm.Sync->next(Now);
+  const StoreCall call = vm.Sync->next(clockOf(vm));
   if (call.Step == StoreSyncStep::WaitForPeers)
-    return inVm(vm, vm.Sync->pause(Now) + between(Duration::zero(), MaxTimerDelay),
+    return inVm(vm, vm.Sync->pause(clockOf(vm)) + between(Duration::zero(), MaxTimerDelay),
                 [this, &vm] { syncWithStore(vm); });
   callStore(vm, call);
 }
@@ -170,7 +173,7 @@
   const CallState state = std::make_shared<bool>(false);
   inVm(vm, call.Timeout, [this, &vm, state] {
     if (!std::exchange(*state, true))
-      endCall(vm, vm.Sync->didFail(StoreFailure::TimedOut, Now));
+      endCall(vm, vm.Sync->didFail(StoreFailure::TimedOut, clockOf(vm)));
   });
   if (vm.Cuts[ToStore] > 0)
     return;
@@ -187,14 +190,16 @@
 
 void ModelFleet::answerCall(Vm &vm, const StoreCall &call, const CallState &state) {
   if (isStoreDown())
-    return respond(vm, state,
-                   [this, &vm] { return vm.Sync->didFail(StoreFailure::Unreachable, Now); });
+    return respond(vm, state, [this, &vm] {
+      return vm.Sync->didFail(StoreFailure::Unreachable, clockOf(vm));
+    });
   if (call.Step == StoreSyncStep::CheckRevision)
-    return respond(vm, state,
-                   [this, &vm, revision = Revision] { return vm.Sync->didCheck(revision, Now); });
+    return respond(vm, state, [this, &vm, revision = Revision] {
+      return vm.Sync->didCheck(revision, clockOf(vm));
+    });
   if (call.Step == StoreSyncStep::ReadAll)
     return respond(vm, state, [this, &vm, delta = changesAfter(0, true)] {
-      return vm.Sync->didReadAll(delta, Now);
+      return vm.Sync->didReadAll(delta, clockOf(vm));
     });
   const int generation = vm.Generation;
   const auto watch = std::make_shared<OpenWatch>();
@@ -204,7 +209,7 @@
     if (!open || std::exchange(open->IsAnswered, true) || vm.Generation != generation)
       return;
     respond(vm, state, [this, &vm, delta = changesAfter(call.After, false)] {
-      return vm.Sync->didWatch(delta, Now);
+      return vm.Sync->didWatch(delta, clockOf(vm));
     });
   };
   if (Revision > call.After)
@@ -224,7 +229,7 @@
 
 void ModelFleet::endCall(Vm &vm, const ReplicaUpdate &update) {
   send(vm, update.Datagrams);
-  inVm(vm, vm.Sync->pause(Now) + between(Duration::zero(), MaxTimerDelay),
+  inVm(vm, vm.Sync->pause(clockOf(vm)) + between(Duration::zero(), MaxTimerDelay),
        [this, &vm] { syncWithStore(vm); });
 }
 
@@ -276,7 +281,7 @@
   for (const auto &it : Vms) {
     if (!it->isRunning() || it->Freezes > 0)
       continue;
-    const bool isReader = it->Fleet->members().isReader(Now);
+    const bool isReader = it->Fleet->members().isReader(clockOf(*it));
     const bool isReaderVictim = wantsReaders && isReader && (allDataCentres || victims.empty());
     if (isReaderVictim || chance(share))
       victims.push_back(it.get());
--- a/Tests/LibFleet/ModelFleet.h
+++ b/Tests/LibFleet/ModelFleet.h
@@ -47,6 +47,8 @@
     int Index = 0;
     /// Counts starts and losses of power, so that events of an earlier process are recognized.
     int Generation = 0;
+    /// Difference between the clock of the VM and that of the model.
+    Duration ClockOffset{};
     std::unique_ptr<FleetReplica> Fleet;
     std::unique_ptr<StoreSync> Sync;
     bool IsPulling = false;
@@ -90,6 +92,8 @@
   /// Runs something in a VM's process: not at all after it lost power, and later if it is frozen.
   void inVm(Vm &vm, Duration delay, std::function<void()> run);
 
+  /// The present time on the clock of the VM.
+  TimePoint clockOf(const Vm &vm) const { return Now + vm.ClockOffset; }
   void start(Vm &vm);
   void stop(Vm &vm);
   void tick(Vm &vm);
@@ -124,6 +128,7 @@
 
   ModelOptions Options;
   Random Rng;
+  Random ClockRng;
   TimePoint Now;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> Events;
   std::uint64_t EventCount = 0;
