LibFleet: Trust the clock of another VM only after two messages apart

The first message from a VM of another data centre had arrived while the process was frozen, and the next came seconds later, so the difference of the clocks contained the time of the freeze. Confirmations of that VM's calls, passed on by others, then looked too young.

An estimate is now used for a second only, unless a message that arrives later shows the same difference: messages that waited together prove nothing. The VM itself is excused for longer than that second after a freeze, and what it passes on is a time on the first VM's clock.

--- a/Libraries/LibFleet/FleetReplica.cpp
+++ b/Libraries/LibFleet/FleetReplica.cpp
@@ -34,13 +34,14 @@
                       now);
   if (!message.ReplicaConfirmedAt || sender.Revision > Replica.revision())
     return;
-  if (const auto confirmedAt = toOwnClock(*message.ReplicaConfirmedAt))
+  if (const auto confirmedAt = toOwnClock(*message.ReplicaConfirmedAt, now))
     didConfirm(*message.ReplicaConfirmedAt, std::min(*confirmedAt, now));
 }
 
-std::optional<TimePoint> FleetReplica::toOwnClock(const ClockReading &reading) const {
+std::optional<TimePoint> FleetReplica::toOwnClock(const ClockReading &reading,
+                                                  TimePoint now) const {
   // What this VM has confirmed itself comes back from the others.
-  return reading.Vm == Members.self().Ip ? std::nullopt : Clocks.toOwnClock(reading);
+  return reading.Vm == Members.self().Ip ? std::nullopt : Clocks.toOwnClock(reading, now);
 }
 
 void FleetReplica::didConfirm(TimePoint confirmedAt) {
--- a/Libraries/LibFleet/FleetReplica.h
+++ b/Libraries/LibFleet/FleetReplica.h
@@ -60,7 +60,7 @@
   PropagationScope scopeOfChangesFrom(VmAddress peer) const;
   void didReceiveConfirmation(const FleetMessage &message, TimePoint now);
   void didConfirm(const ClockReading &reading, TimePoint confirmedAt);
-  std::optional<TimePoint> toOwnClock(const ClockReading &reading) const;
+  std::optional<TimePoint> toOwnClock(const ClockReading &reading, TimePoint now) const;
 
   FleetMembership Members;
   StoreReplica Replica;
--- a/Libraries/LibFleet/PeerClocks.h
+++ b/Libraries/LibFleet/PeerClocks.h
@@ -26,21 +26,28 @@
 /// never negative but may be long: the network may delay it, and it waits in the socket while the
 /// process stands still. The smallest sum that was seen is therefore close to the difference of the
 /// clocks, and converted times are too late by no more than the fastest message took.
+///
+/// A single message may have waited for long. Unless a second one that arrives later shows the same
+/// difference, an estimate is used only for a moment.
 class PeerClocks {
 public:
   /// A message that was sent at `sentAt` has arrived.
   void didReceive(const ClockReading &sentAt, TimePoint now);
-  /// Empty for processes from which no message has arrived.
-  std::optional<TimePoint> toOwnClock(const ClockReading &reading) const;
+  /// Empty for processes whose clock isn't known well enough.
+  std::optional<TimePoint> toOwnClock(const ClockReading &reading, TimePoint now) const;
   /// Forgets VMs that have sent nothing for a while.
   void expire(TimePoint now);
 
 private:
   struct Estimate {
-    std::uint64_t Incarnation;
+    std::uint64_t Incarnation = 0;
     /// What has to be added to a time on that clock.
-    Duration Offset;
-    TimePoint UpdatedAt;
+    Duration Offset{};
+    /// When a message first showed about this offset.
+    TimePoint FirstSeenAt{};
+    TimePoint UpdatedAt{};
+    /// Whether messages that arrived at different times showed this offset.
+    bool IsConfirmed = false;
   };
 
   std::map<VmAddress, Estimate> Estimates;
--- a/Tests/LibFleet/TestChangeDeadline.cpp
+++ b/Tests/LibFleet/TestChangeDeadline.cpp
@@ -45,6 +45,9 @@
 TEST(ChangeDeadline, LateMessagesDoNotMakeReplicasYounger) {
   expectChangesInTime({.Vms = 12, .DataCentres = 4}, 1400224, 1);
   expectChangesInTime({.Vms = 12, .DataCentres = 4}, 2900437, 1);
+  expectChangesInTime({.Vms = 12, .DataCentres = 4}, 2500356, 1);
+  expectChangesInTime({.Vms = 12, .DataCentres = 4}, 3600131, 1);
+  expectChangesInTime({.Vms = 16, .DataCentres = 3}, 2310287, 1);
 }
 TEST(ChangeDeadline, UnevenFleetsKnowChangesInTime) {
   expectChangesInTime({.Vms = 16, .DataCentres = 3}, 10001, 500);
