Soak: Judge each VM by itself and let VMs fall silent round changes

The judge excused every VM from the promises on draining and configuration while any VM was killed or paused, so the soak could not see VMs in touch that learnt of changes late beside silent ones. A fault now excuses only what it concerns: a VM, the upstream behind a harmed link, or all for faults of the store; a request is attributed to the VM that it was sent to. A planted fault shows that faults of other VMs excuse nothing.

`--silence` stops, freezes or cuts VMs off from the store within a second of changes, and asks each VM in touch for a route of the new version when it must be in force.

The store refused nobody when it was to refuse some VMs: it knew them by their source address, which is 127.0.0.1 for all. Each VM now calls it at a port of its own.

--- a/Meta/soak.sh
+++ b/Meta/soak.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Builds the gateway and runs the fault soak with the seeds that are named, each for 20 s.
+# Builds the gateway and runs the fault soak with the seeds that are named, each for 20 s: six VMs, and twelve of which some
+# fall silent round changes.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 Meta/install.sh
@@ -7,4 +8,5 @@
 cd Meta
 for seed in "${@:-1}"; do
   python3 -m soak --seed "$seed" --seconds 20
+  python3 -m soak --seed "$seed" --seconds 20 --silence --vms 12
 done
--- a/Meta/soak/__main__.py
+++ b/Meta/soak/__main__.py
@@ -15,6 +15,7 @@
 from .judge import CONFIG_S, SLACK_S, Judge
 from .plan import Plan, configuration
 from .relay import Relay
+from .silence import Silence
 from .store import Store
 from .upstream import Upstream, new_random
 from . import wire
@@ -35,7 +36,7 @@
         self.store = Store(f"{self.net}.250:8541")
         self.log = open(options.log or os.path.join(folder, "vms.log"), "wb")
         seeds = [f"{self.net}.1", f"{self.net}.2"]
-        self.fleet = Fleet([Vm(options.program, folder, f"{self.net}.{n + 1}", ZONES[n % 3], self.store.address, seeds,
+        self.fleet = Fleet([Vm(options.program, folder, f"{self.net}.{n + 1}", ZONES[n % 3], self.store.address_for(n), seeds,
                                self.log) for n in range(options.vms)])
         self.upstreams, self.relays = [], {}
         self.started = 0
@@ -61,8 +62,8 @@
             await self.add_upstream(upstream.service, upstream.zone)
 
     async def run(self):
-        await self.store.start()
-        self.store.put("op/config", configuration(1, SERVICES, False))
+        await self.store.start(self.fleet.vms)
+        self.store.put("op/config", configuration([1], SERVICES, False))
         self.store.put("servers/other-writer", b"\xff not an entry")
         for n in range(self.options.upstreams):
             await self.add_upstream(SERVICES[n % 2], ZONES[n % 3])
@@ -74,6 +75,8 @@
                    for n in range(self.options.callers)]
         loop_until = asyncio.get_running_loop().time() + self.options.seconds + RECOVERY_S
         faults = () if self.options.calm else (plan.run(until),)
+        if self.options.silence:
+            faults += (Silence(self, plan, new_random(self.options.seed, "silence")).run(until),)
         await asyncio.gather(*faults, self.watch_configuration(until, plan),
                              *(caller.run(loop_until, 0.2) for caller in callers))
         await self.check_recovery()
@@ -85,26 +88,31 @@
         while time.monotonic() < until:
             version, at = plan.version, time.monotonic()
             await asyncio.sleep(CONFIG_S + SLACK_S)
-            if plan.version != version or not self.store.is_stable(at, 3) or self.judge.is_disturbed(at - 3, time.monotonic()):
+            if plan.version != version or not self.store.is_stable(at, 3):
                 continue
             for vm in self.fleet.vms:
-                if vm.is_running() and not vm.stop_began:
+                now = time.monotonic()
+                if vm.is_running() and not vm.stop_began and not self.judge.is_concerned((vm.name,), now - SLACK_S, now):
                     await self.ask_odd_route(vm, version, plan)
 
     async def ask_odd_route(self, vm, version, plan):
+        status = await self.ask(vm, "/odd/")
+        # The configuration may have changed while the VMs were asked one after the other.
+        allowed = plan.versions[plan.versions.index(version):]
+        if status and (status == "404") not in [it % 2 == 0 for it in allowed]:
+            self.judge.broke("configuration", f"{vm.name} answers {status} under version {version}")
+
+    async def ask(self, vm, prefix):
+        """Sends a request of no importance on a route. Returns the status, or None without an answer."""
         attempt = f"{self.rng.getrandbits(64):016x}"
-        target = f"/odd/{attempt}?bytes=10"
-        self.judge.did_send(attempt, "safe", target, b"")
+        target = f"{prefix}{attempt}?bytes=10"
+        self.judge.did_send(attempt, "safe", target, b"", vm.name)
         fields = {"X-Wigeonlift-Attempt-Id": attempt, "X-Wigeonlift-Deadline-Remaining": "1500", "Connection": "close"}
         try:
             answer = await asyncio.wait_for(exchange_once(vm.address, wire.request("GET", target, HOST, fields)), 2)
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-            return
-        is_missing = answer is not None and answer.first[1] == "404"
-        # The configuration may have changed while the VMs were asked one after the other.
-        allowed = plan.versions[plan.versions.index(version):]
-        if answer is not None and is_missing not in [it % 2 == 0 for it in allowed]:
-            self.judge.broke("configuration", f"{vm.name} answers {answer.first[1]} under version {version}")
+            return None
+        return answer.first[1] if answer else None
 
     async def check_recovery(self):
         before = self.judge.outcomes[200]
@@ -142,6 +150,7 @@
     parser.add_argument("--upstreams", type=int, default=12)
     parser.add_argument("--callers", type=int, default=30)
     parser.add_argument("--calm", action="store_true", help="without faults")
+    parser.add_argument("--silence", action="store_true", help="with VMs that fall silent within a second of changes")
     parser.add_argument("--log", help="file for what the processes write")
     options = parser.parse_args()
     # Handlers of open connections end with the loop, which is no news.
--- a/Meta/soak/callers.py
+++ b/Meta/soak/callers.py
@@ -69,8 +69,8 @@
             self.judge.outcomes["no connection"] += 1
             return
         is_pipelined = kind[0] == "safe" and self.pipelining.random() < PIPELINED_SHARE
-        attempts = [self.send(kind, writer) for _ in range(self.pipelining.randint(2, MAX_DEPTH) if is_pipelined else 1)]
         vm = self.fleet.by_address(address)
+        attempts = [self.send(kind, writer, vm) for _ in range(self.pipelining.randint(2, MAX_DEPTH) if is_pipelined else 1)]
         while attempts:
             answer = await self.answer_to(attempts[0], kind, reader, vm)
             if answer is None:
@@ -86,12 +86,12 @@
         else:
             writer.close()
 
-    def send(self, kind, writer):
+    def send(self, kind, writer, vm):
         name, prefix, deadline_s, _, size = kind
         attempt = uuid.UUID(int=self.rng.getrandbits(128)).hex[:16]
         body = f"order {attempt}".encode() if name == "unsafe" else b""
         target = f"{prefix}{attempt}?bytes={size}"
-        self.judge.did_send(attempt, name, target, body)
+        self.judge.did_send(attempt, name, target, body, vm.name)
         writer.write(wire.request("POST" if name == "unsafe" else "GET", target, HOST,
                                   {"X-Wigeonlift-Attempt-Id": attempt,
                                    "X-Wigeonlift-Deadline-Remaining": str(int(deadline_s * 1000))}, body))
--- a/Meta/soak/fleet.py
+++ b/Meta/soak/fleet.py
@@ -12,6 +12,7 @@
 
 class Vm:
     def __init__(self, program, folder, ip, zone, store_address, seeds, log):
+        """`store_address` is the one at which the store knows this VM."""
         self.program, self.folder, self.ip, self.zone = program, folder, ip, zone
         self.store_address, self.seeds, self.log = store_address, seeds, log
         self.name = f"vm-{ip.rpartition('.')[2]}"
--- a/Meta/soak/judge.py
+++ b/Meta/soak/judge.py
@@ -12,6 +12,14 @@
 BUDGET_EXTRA = 56
 # What the judge itself takes to notice an event.
 SLACK_S = 0.3
+# A fault excuses what it concerns until this long after its end.
+SETTLE_S = 3.0
+# Excuses everything: faults of the store, or of all links.
+ALL = "all"
+
+
+def overlaps(spans, begin, end):
+    return any(since < end and begin < until for since, until in spans)
 
 
 class Judge:
@@ -24,17 +32,35 @@
         self.arrivals = []
         self.sent = []
         self.outcomes = collections.Counter()
-        # Times from which and until which a promise with a bound is not judged: faults on its way.
-        self.disturbed = []
+        # Faults by what they concern: ALL, the name of a VM, or that of an upstream whose link is harmed. Each has a begin
+        # and an end; promises with a bound are not judged between them for what is concerned.
+        self.faults = collections.defaultdict(list)
+        # Planned stops with the starts that follow, by VM. They concern only what the VM knows.
+        self.restarts = collections.defaultdict(list)
 
     def broke(self, promise, what):
         self.found.append((promise, what))
 
+    def begin_fault(self, *concerned):
+        """Returns what `end_fault` needs."""
+        fault = [time.monotonic(), float("inf")]
+        for it in concerned:
+            self.faults[it].append(fault)
+        return fault
+
+    def end_fault(self, fault):
+        fault[1] = time.monotonic() + SETTLE_S
+
+    def is_concerned(self, names, begin, end):
+        spans = [span for it in (ALL, *names) for span in (*self.faults[it], *self.restarts[it])]
+        return overlaps(spans, begin, end)
+
     def is_disturbed(self, begin, end):
-        return any(begin < until and since < end for since, until in self.disturbed)
+        """Whether there was any fault, whatever it concerned."""
+        return overlaps([span for spans in self.faults.values() for span in spans], begin, end)
 
-    def did_send(self, attempt, kind, target, body):
-        self.requests[attempt] = (kind, target, body)
+    def did_send(self, attempt, kind, target, body, vm):
+        self.requests[attempt] = (kind, target, body, vm)
         self.sent.append(time.monotonic())
 
     def did_run(self, attempt, upstream, message):
@@ -50,8 +76,9 @@
         if attempt in self.refused:
             self.broke("not-run-is-true", f"{attempt} was refused with {self.refused[attempt]} and ran at {upstream.name}")
         left = self.left_at.get(upstream.name)
-        if left and now > left + DRAIN_S + SLACK_S and not self.is_disturbed(left - 3, now):
-            self.broke("draining", f"{attempt} ran at {upstream.name} {now - left:.2f} s after it said that it leaves")
+        vm = known[3]
+        if left and now > left + DRAIN_S + SLACK_S and not self.is_concerned((vm, upstream.name), now - SLACK_S, now):
+            self.broke("draining", f"{vm} sent {attempt} to {upstream.name} {now - left:.2f} s after it said that it leaves")
 
     def did_answer(self, attempt, status, sealed, expected, is_whole, body):
         self.outcomes[status] += 1
--- a/Meta/soak/plan.py
+++ b/Meta/soak/plan.py
@@ -6,11 +6,21 @@
 
 from .callers import HOST
 
-SETTLE_S = 3.0
+from .judge import ALL, SETTLE_S
 
+# How many of the latest versions have a route of their own in a configuration.
+MARKED_VERSIONS = 8
+
+
+def mark(version):
+    """Prefix of the route that tells whether a version, or a later one, is in force."""
+    return f"/mark-{version}/"
+
+
+def configuration(versions, services, moved):
+    """Routes of all kinds; odd versions have one more route. The last of `versions` is the newest."""
+    version = versions[-1]
 
-def configuration(version, services, moved):
-    """Routes of all kinds; odd versions have one more route."""
     def route(name, prefix, kind, service, timeout, target, priority):
         return {"name": name, "host": HOST, "prefix": prefix, "route-kind": kind, "timeout": timeout,
                 "target-latency": target, "priority": priority, "service": service, "max-attempts": 2}
@@ -19,6 +29,8 @@
               route("bulk", "/bulk/", "download", services[1 if moved else 0], "1500ms", "600ms", 2)]
     if version % 2:
         routes.append(route("odd", "/odd/", "safe", services[0], "1200ms", "400ms", 2))
+    for it in versions[-MARKED_VERSIONS:]:
+        routes.append(route(f"mark-{it}", mark(it), "safe", services[0], "1200ms", "400ms", 2))
     return {"version": version, "routes": routes,
             "services": [{"name": s, "health-check-path": "/health", "max-connections": 200} for s in services],
             "limits": {"max-header-bytes": 16384, "max-body-bytes": 67108864, "header-timeout": "3000ms",
@@ -29,7 +41,7 @@
     """Runs faults in series that overlap. Each fault undoes itself."""
 
     def __init__(self, soak, rng):
-        self.soak, self.rng = soak, rng
+        self.soak, self.rng, self.judge = soak, rng, soak.judge
         self.versions = [1]
         self.log = []
         self.faults = (self.kill_vm, self.pause_vm, self.stop_vm, self.stop_vm, self.store_fault, self.store_for_some,
@@ -50,52 +62,49 @@
             running.append(asyncio.ensure_future(fault()))
         await asyncio.gather(*running)
 
-    def disturb(self, begin):
-        self.soak.judge.disturbed.append((begin, time.monotonic() + SETTLE_S))
-
-    async def during(self, begin_fault, end_fault, least_s, most_s):
-        """A fault that excuses promises with a bound while it lasts and shortly after."""
-        begin = time.monotonic()
-        entry = [begin, float("inf")]
-        self.soak.judge.disturbed.append(entry)
+    async def during(self, concerned, begin_fault, end_fault, least_s, most_s):
+        """A fault that excuses what it concerns from promises with a bound while it lasts and shortly after."""
+        fault = self.judge.begin_fault(*concerned)
         begin_fault()
         await asyncio.sleep(self.rng.uniform(least_s, most_s))
         end_fault()
-        entry[1] = time.monotonic() + SETTLE_S
+        self.judge.end_fault(fault)
 
-    async def kill_vm(self, vm=None):
+    async def kill_vm(self, vm=None, off_s=None):
         vm = vm or self.rng.choice(self.soak.fleet.vms)
         if not vm.is_running() or vm.stop_began:
             return
-        begin = time.monotonic()
-        entry = [begin, float("inf")]
-        self.soak.judge.disturbed.append(entry)
+        fault = self.judge.begin_fault(vm.name)
         await vm.kill()
-        await asyncio.sleep(self.rng.uniform(0.1, 1.0))
+        await asyncio.sleep(off_s or self.rng.uniform(0.1, 1.0))
         await vm.start()
-        entry[1] = time.monotonic() + SETTLE_S
+        self.judge.end_fault(fault)
 
     async def kill_many(self):
         await asyncio.gather(*(self.kill_vm(vm) for vm in self.soak.fleet.vms if self.rng.random() < 0.6))
 
     async def pause_vm(self):
         vm = self.rng.choice(self.soak.fleet.vms)
-        await self.during(lambda: vm.signal(signal.SIGSTOP), lambda: vm.signal(signal.SIGCONT), 0.5, 4)
+        await self.during((vm.name,), lambda: vm.signal(signal.SIGSTOP), lambda: vm.signal(signal.SIGCONT), 0.5, 4)
 
     async def stop_vm(self):
         vm = self.rng.choice(self.soak.fleet.vms)
         if not vm.is_running() or vm.stop_began:
             return
+        # A planned stop is no fault for the promises round it, but a VM that stops or starts may not know all changes.
+        starting = [time.monotonic(), float("inf")]
+        self.judge.restarts[vm.name].append(starting)
         await vm.stop_gracefully()
         await vm.start()
+        self.judge.end_fault(starting)
 
     async def store_fault(self):
         fault = self.rng.choice(("busy", "many", "reset", "silent", "slow"))
-        await self.during(lambda: self.soak.store.set_fault(fault), lambda: self.soak.store.set_fault(None), 1, 5)
+        await self.during((ALL,), lambda: self.soak.store.set_fault(fault), lambda: self.soak.store.set_fault(None), 1, 5)
 
     async def store_for_some(self):
         """The store serves most VMs; promises with a bound hold for all."""
-        some = {vm.ip for vm in self.soak.fleet.vms[1:] if self.rng.random() < 0.3}
+        some = {vm.name for vm in self.soak.fleet.vms[1:] if self.rng.random() < 0.3}
         self.soak.store.set_fault(self.rng.choice(("busy", "many", "reset")), some)
         await asyncio.sleep(self.rng.uniform(2, 6))
         self.soak.store.set_fault(None)
@@ -104,27 +113,27 @@
         self.soak.store.forget_history()
 
     async def reset_links(self):
-        begin = time.monotonic()
-        for relay in self.some_relays():
-            relay.reset_all()
-        self.disturb(begin)
+        self.touch_links(lambda relay: relay.reset_all())
 
     async def silence_links(self):
-        begin = time.monotonic()
-        for relay in self.some_relays():
-            relay.silence_all()
-        self.disturb(begin)
+        self.touch_links(lambda relay: relay.silence_all())
+
+    def touch_links(self, action):
+        names = self.some_links()
+        for it in names:
+            action(self.soak.relays[it])
+        self.judge.end_fault(self.judge.begin_fault(*names))
 
     async def cut_link(self):
-        relays = self.some_relays()
+        names, relays = self.some_links_and_relays()
         way = self.rng.choice((("forth",), ("back",), ("forth", "back")))
-        await self.during(lambda: [r.stalled.update(way) for r in relays],
+        await self.during(names, lambda: [r.stalled.update(way) for r in relays],
                           lambda: [r.stalled.clear() for r in relays], 0.5, 3)
 
     async def delay_links(self):
-        relays = self.some_relays()
+        names, relays = self.some_links_and_relays()
         delay_s = self.rng.uniform(0.005, 0.1)
-        await self.during(lambda: [setattr(r, "delay_s", delay_s) for r in relays],
+        await self.during(names, lambda: [setattr(r, "delay_s", delay_s) for r in relays],
                           lambda: [setattr(r, "delay_s", 0.0) for r in relays], 1, 4)
 
     async def spoil_answers(self):
@@ -166,10 +175,15 @@
 
     async def configure(self):
         for _ in range(self.rng.choice((1, 1, 3))):
-            self.versions.append(self.version + self.rng.choice((1, 2, 3)))
-            self.soak.store.put("op/config", configuration(self.version, self.soak.services, self.rng.random() < 0.5))
+            self.write_configuration()
             await asyncio.sleep(self.rng.uniform(0.05, 0.4))
 
+    def write_configuration(self):
+        """Returns when the store acknowledged the new version, and the version."""
+        self.versions.append(self.version + self.rng.choice((1, 2, 3)))
+        value = configuration(self.versions, self.soak.services, self.rng.random() < 0.5)
+        return self.soak.store.put("op/config", value), self.version
+
     async def change_settings(self):
         vm = self.rng.choice(self.soak.fleet.vms)
         vm.extra += 1
@@ -177,5 +191,10 @@
         if self.rng.random() < 0.5:
             vm.signal(signal.SIGHUP)
 
-    def some_relays(self):
-        return [relay for relay in self.soak.relays.values() if self.rng.random() < 0.4]
+    def some_links(self):
+        """Names of the upstreams at the end of some links."""
+        return [name for name in self.soak.relays if self.rng.random() < 0.4]
+
+    def some_links_and_relays(self):
+        names = self.some_links()
+        return names, [self.soak.relays[name] for name in names]
--- a/Meta/soak/planted.py
+++ b/Meta/soak/planted.py
@@ -19,7 +19,7 @@
     """Yields each promise with a judge that has seen it broken."""
     def judge(kind="safe"):
         it = Judge()
-        it.did_send("x", kind, "/look/x", b"")
+        it.did_send("x", kind, "/look/x", b"", "vm-1")
         return it
 
     it = judge()
@@ -45,6 +45,12 @@
     it.left_at["i-1"] = time.monotonic() - 3
     it.did_run("x", Place, message())
     yield "draining", it
+    # Faults of other VMs excuse nothing.
+    it = judge()
+    it.begin_fault("vm-2")
+    it.left_at["i-1"] = time.monotonic() - 3
+    it.did_run("x", Place, message())
+    yield "draining", it
     it = judge()
     it.did_break("x", True)
     yield "graceful-stop", it
--- a/Meta/soak/store.py
+++ b/Meta/soak/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import functools
 import json
 import time
 import urllib.parse
@@ -14,21 +15,28 @@
 
 class Store:
     def __init__(self, address):
-        self.address = address
+        # Each VM calls the store at a port of its own, which tells who calls.
+        self.host, port = address.split(":")
+        self.first_port = int(port)
         self.items = {}
         self.history = []
         self.revision = 1
         self.forgotten = 0
         self.changed = asyncio.Event()
-        # Fault for all callers, or for those whose address is in the set: busy, many, reset, silent, slow.
+        # Fault for all callers, or for the VMs whose names are in the set: busy, many, reset, silent, slow.
         self.fault = None
         self.refused = None
+        # Names of the VMs whose calls get no answer, because their path to the store is cut.
+        self.cut = set()
         self.disturbed_until = 0.0
         self.calls = 0
 
-    async def start(self):
-        host, port = self.address.split(":")
-        return await asyncio.start_server(self.serve, host, int(port))
+    def address_for(self, index):
+        return f"{self.host}:{self.first_port + index}"
+
+    async def start(self, vms):
+        for index, vm in enumerate(vms):
+            await asyncio.start_server(functools.partial(self.serve, vm.name), self.host, self.first_port + index)
 
     def put(self, key, value):
         self.revision += 1
@@ -62,11 +70,13 @@
             self.disturbed_until = time.monotonic()
         self.fault, self.refused = fault, refused
 
-    async def serve(self, reader, writer):
+    async def serve(self, caller, reader, writer):
         try:
             while (message := await wire.read_message(reader)) is not None:
                 self.calls += 1
-                answer = await self.answer(message, writer.get_extra_info("peername")[0])
+                answer = await self.answer(message, caller)
+                if caller in self.cut:
+                    await asyncio.sleep(HANG_S)
                 if answer is None:
                     return wire.reset(writer)
                 writer.write(answer)
