--- a/Libraries/LibDiscovery/LibDiscovery.h
+++ b/Libraries/LibDiscovery/LibDiscovery.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibDiscovery/LeaseRenewal.h>
 #include <LibDiscovery/ReplicaFreshness.h>
 #include <LibDiscovery/StoreReplica.h>
 #include <LibDiscovery/StoreSyncPolicy.h>
--- a/Libraries/LibDiscovery/ReplicaFreshness.h
+++ b/Libraries/LibDiscovery/ReplicaFreshness.h
@@ -19,13 +19,16 @@
   /// Derives the limits from the time within which each VM must know an acknowledged change. What
   /// MaxAgeLimit leaves of it is for the call to the store that follows.
   static constexpr FreshnessLimits forChangeDeadline(Duration deadline) {
-    const Duration limit = std::min(MaxConfirmInterval, deadline * 3 / 5);
-    return {.ConfirmInterval = limit, .MinAgeLimit = limit * 7 / 6, .MaxAgeLimit = limit * 4 / 3};
+    const Duration span = std::min(deadline, MaxDeadline);
+    return {.ConfirmInterval = span * 6 / 10,
+            .MinAgeLimit = span * 7 / 10,
+            .MaxAgeLimit = span * 8 / 10};
   }
 
 private:
-  /// A watch that stays open for longer saves few calls, and a broken one is noticed later.
-  static constexpr Duration MaxConfirmInterval = std::chrono::seconds{2};
+  /// Later deadlines are treated like this one: they would save few calls, and a watch that is
+  /// broken would be noticed later.
+  static constexpr Duration MaxDeadline = std::chrono::milliseconds{3400};
 };
 
 /// Keeps track of the age of a VM's replica of the store.
--- a/Libraries/LibDiscovery/StoreSyncPolicy.cpp
+++ b/Libraries/LibDiscovery/StoreSyncPolicy.cpp
@@ -1,5 +1,7 @@
 #include <LibDiscovery/StoreSyncPolicy.h>
 
+#include <LibDiscovery/LeaseRenewal.h>
+
 #include <algorithm>
 
 namespace wigeonlift {
@@ -15,10 +17,6 @@
 // How long a VM that doesn't read the store counts as disconnected after its last failed call.
 // Until then other VMs are preferred as readers.
 constexpr Duration DisconnectedTimeAfterFailure = std::chrono::seconds{6};
-// Upstreams whose leases expired while the store was unreachable write their entries again within
-// this time after the store is reachable again. UpstreamList.cpp has `ProbableExpiryGrace` for the
-// same reason.
-constexpr Duration LeaseRenewalTime = std::chrono::milliseconds{2200};
 constexpr Duration InitialRetryDelay = std::chrono::milliseconds{200};
 constexpr Duration MaxRetryDelayOfReader = std::chrono::milliseconds{1000};
 // Other VMs hear from the reader when the store answers again. Unless they are all to wait for it,
--- a/Libraries/LibDiscovery/UpstreamList.cpp
+++ b/Libraries/LibDiscovery/UpstreamList.cpp
@@ -1,5 +1,7 @@
 #include <LibDiscovery/UpstreamList.h>
 
+#include <LibDiscovery/LeaseRenewal.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -7,9 +9,6 @@
 
 namespace {
 
-// Running upstreams register again within about 2 s after the store is reachable again.
-// StoreSyncPolicy.cpp has `LeaseRenewalTime` for the same reason.
-constexpr Duration ProbableExpiryGrace = std::chrono::milliseconds{2200};
 constexpr Duration PossibleExpiryGrace = std::chrono::milliseconds{400};
 // A request that was assigned at the end of a grace period reaches the upstream within this time.
 constexpr Duration DispatchTime = std::chrono::milliseconds{200};
@@ -41,7 +40,7 @@
   case RemovalKind::PossibleLeaseExpiry:
     return std::min(now + PossibleExpiryGrace, removal.EarliestAt + DrainTimeout - DispatchTime);
   case RemovalKind::ProbableLeaseExpiry:
-    return now + ProbableExpiryGrace;
+    return now + LeaseRenewalTime;
   }
   return now;
 }
