--- a/Services/Gateway/FleetTask.cpp
+++ b/Services/Gateway/FleetTask.cpp
@@ -46,8 +46,8 @@
           .Weight = std::max(1U, static_cast<std::uint32_t>(WeightPerCore * share))};
 }
 
-RemovalKind removalMeans(StoreOutage absence) {
-  switch (absence) {
+RemovalKind removalKindDuring(StoreOutage outage) {
+  switch (outage) {
   case StoreOutage::None:
     return RemovalKind::Final;
   case StoreOutage::Possible:
@@ -229,7 +229,7 @@
   send(update.Datagrams);
   if (!update.Changes.empty())
     Owner.didLearn(update.Changes, source,
-                   {.Kind = removalMeans(update.Outage), .EarliestAt = update.ChangesFrom});
+                   {.Kind = removalKindDuring(update.Outage), .EarliestAt = update.ChangesFrom});
 }
 
 void FleetTask::send(const std::vector<FleetDatagram> &sends) {
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -41,7 +41,7 @@
                  std::uint64_t seed)
     : Context(context), Settings(settings), Log(log), Requests(log), Seed(seed), Rng(seed),
       Upstreams(settings.Bounds.DrainTimeout), Bodies(bodyLimit(settings)),
-      HeldAnswers(bodyLimit(settings)), Begin(bootTimeNow()), LapseTimer(context),
+      HeldAnswers(bodyLimit(settings)), Begin(bootTimeNow()), RemovalTimer(context),
       MaintainedAt(bootTimeNow()) {}
 
 asio::awaitable<void> Gateway::awaitConfiguration(TimePoint end) {
@@ -66,22 +66,22 @@
   }
   if (hasChanged)
     refreshServices();
-  armLapseTimer();
+  armRemovalTimer();
 }
 
-void Gateway::armLapseTimer() {
+void Gateway::armRemovalTimer() {
   const auto next = Upstreams.nextRemovalDue();
   if (!next)
     return;
-  LapseTimer.expires_after(std::max(Duration::zero(), *next - bootTimeNow()));
-  LapseTimer.async_wait([this](const boost::system::error_code &ec) {
+  RemovalTimer.expires_after(std::max(Duration::zero(), *next - bootTimeNow()));
+  RemovalTimer.async_wait([this](const boost::system::error_code &ec) {
     if (ec)
       return;
     if (Upstreams.applyDueRemovals(bootTimeNow())) {
       Log.write(EventLog::Priority::Important, "upstreams_lapsed", {});
       refreshServices();
     }
-    armLapseTimer();
+    armRemovalTimer();
   });
 }
 
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -82,8 +82,8 @@
   bool didLearnUpstream(const StoreItem &item, std::string_view id, const EntryRemoval &removal,
                         TimePoint now);
   void refreshServices();
-  /// Drops lapsed upstreams right when their time is over.
-  void armLapseTimer();
+  /// Drops upstreams right when their grace period is over.
+  void armRemovalTimer();
   void shareBudgets();
   void logFigures(const ServiceTask &task, TimePoint now);
 
@@ -106,7 +106,7 @@
   double BudgetShare = 0.05;
   StartPlan Begin;
   StopPlan Stop;
-  boost::asio::steady_timer LapseTimer;
+  boost::asio::steady_timer RemovalTimer;
   TimePoint MaintainedAt{};
   TimePoint FiguresAt{};
 };
--- a/Services/Gateway/StoreTask.cpp
+++ b/Services/Gateway/StoreTask.cpp
@@ -51,9 +51,9 @@
     co_await perform(call);
     logConnection();
     // Until the first configuration is known, nothing is worth more than to get it.
-    const bool mayFold = Owner.plans().current() || Sync.isDisconnected() ||
-                         call.Step == StoreSyncStep::WaitForPeers;
-    if (mayFold)
+    const bool mayPause = Owner.plans().current() || Sync.isDisconnected() ||
+                          call.Step == StoreSyncStep::WaitForPeers;
+    if (mayPause)
       co_await pause(Sync.pause(bootTimeNow()));
   }
 }
