--- a/Tests/LibFleet/ModelFleet.cpp
+++ b/Tests/LibFleet/ModelFleet.cpp
@@ -10,17 +10,13 @@
 constexpr Duration ms(int n) { return std::chrono::milliseconds{n}; }
 
 constexpr TimePoint Begin{std::chrono::seconds{1000}};
-// The fleet is calm until then, so that all VMs know each other and have a copy of the store.
-constexpr TimePoint FaultsFrom = Begin + std::chrono::seconds{8};
-constexpr TimePoint FaultsUntil = Begin + std::chrono::seconds{20};
+constexpr TimePoint FaultsFrom = Begin + ModelFleet::CalmStart;
 constexpr TimePoint End = Begin + std::chrono::seconds{26};
-constexpr Duration SettleTime = std::chrono::seconds{3};
 constexpr Duration CheckInterval = ms(20);
 constexpr Duration PullDelay = ms(80);
 constexpr Duration PullRetry = ms(200);
 constexpr Duration PullTimeout = ms(1200);
 constexpr Duration MaxTimerDelay = ms(20);
-constexpr Duration RestartDelay = ms(50);
 constexpr Duration StoreAnswerTime = ms(4);
 constexpr double DatagramLoss = 0.01;
 // A clock starts anew when its VM does.
@@ -70,7 +66,7 @@
 std::vector<std::string> ModelFleet::run() {
   for (const auto &it : Vms)
     at(Begin + between(Duration::zero(), ms(300)), [this, vm = it.get()] { start(*vm); });
-  planFaults();
+  planFaults(FaultsFrom);
   for (TimePoint time = FaultsFrom; time < End; time += CheckInterval)
     at(time, [this] { check(); });
   while (!Events.empty() && Events.top().At < End) {
@@ -249,95 +245,6 @@
     it->Answer();
 }
 
-void ModelFleet::planFaults() {
-  for (TimePoint time = FaultsFrom; time < FaultsUntil; time += between(ms(200), ms(4000))) {
-    if (Options.HasFaults)
-      planFault(time);
-    // Many changes are acknowledged shortly before a fault or within a second after it.
-    if (Options.HasChanges && chance(0.8))
-      at(time + between(-ms(100), ms(1000)), [this] { change(); });
-  }
-}
-
-void ModelFleet::planFault(TimePoint begin) {
-  at(begin, [this, begin] {
-    const auto victims = pickVictims();
-    const Duration length = between(ms(300), ms(6000));
-    const auto kind = Rng.below(3);
-    if (kind == 0)
-      losePower(victims, begin, length);
-    else if (kind == 1)
-      freeze(victims, begin, length);
-    else
-      cut(victims, begin, length);
-  });
-}
-
-std::vector<ModelFleet::Vm *> ModelFleet::pickVictims() {
-  const bool wantsReaders = chance(0.6);
-  const double share = std::array{0.0, 0.2, 0.6, 0.9}[Rng.below(4)];
-  const bool allDataCentres = chance(0.5);
-  std::vector<Vm *> victims;
-  for (const auto &it : Vms) {
-    if (!it->isRunning() || it->Freezes > 0)
-      continue;
-    const bool isReader = it->Fleet->members().isReader(clockOf(*it));
-    const bool isReaderVictim = wantsReaders && isReader && (allDataCentres || victims.empty());
-    if (isReaderVictim || chance(share))
-      victims.push_back(it.get());
-  }
-  return victims;
-}
-
-void ModelFleet::endExcuse(Vm &vm) {
-  --vm.Excuses;
-  vm.ExcusedUntil = Now + SettleTime;
-}
-
-void ModelFleet::losePower(const std::vector<Vm *> &victims, TimePoint begin, Duration length) {
-  for (Vm *it : victims) {
-    beginExcuse(*it);
-    stop(*it);
-    at(begin + length + between(Duration::zero(), RestartDelay), [this, it] {
-      start(*it);
-      endExcuse(*it);
-    });
-  }
-}
-
-void ModelFleet::freeze(const std::vector<Vm *> &victims, TimePoint begin, Duration length) {
-  for (Vm *it : victims) {
-    beginExcuse(*it);
-    ++it->Freezes;
-    at(begin + length, [this, it] {
-      endExcuse(*it);
-      if (--it->Freezes > 0)
-        return;
-      for (const auto &run : std::exchange(it->Deferred, {}))
-        run();
-    });
-  }
-}
-
-void ModelFleet::cut(const std::vector<Vm *> &victims, TimePoint begin, Duration length) {
-  std::array<bool, 4> directions{};
-  for (bool &it : directions)
-    it = chance(0.6);
-  const bool isCutFromStore = directions[ToStore] || directions[FromStore];
-  for (Vm *vm : victims) {
-    if (isCutFromStore)
-      beginExcuse(*vm);
-    for (std::size_t n = 0; n < directions.size(); ++n)
-      vm->Cuts[n] += directions[n] ? 1 : 0;
-    at(begin + length, [this, vm, directions, isCutFromStore] {
-      for (std::size_t n = 0; n < directions.size(); ++n)
-        vm->Cuts[n] -= directions[n] ? 1 : 0;
-      if (isCutFromStore)
-        endExcuse(*vm);
-    });
-  }
-}
-
 bool ModelFleet::isInTouch(const Vm &vm) const {
   return vm.isRunning() && vm.Excuses == 0 && Now >= vm.ExcusedUntil;
 }
--- a/Tests/LibFleet/ModelFleet.h
+++ b/Tests/LibFleet/ModelFleet.h
@@ -34,6 +34,9 @@
 /// time, whatever happens to the other VMs.
 class ModelFleet {
 public:
+  /// The fleet is calm for this long, so that all VMs know each other and have a copy of the store.
+  static constexpr Duration CalmStart = std::chrono::seconds{8};
+
   ModelFleet(ModelOptions options, std::uint64_t seed);
 
   /// Simulates the whole run. Returns a line for each change that a VM in touch didn't know in
@@ -111,7 +114,7 @@
   StoreDelta changesAfter(StoreRevision revision, bool isComplete) const;
   void change();
 
-  void planFaults();
+  void planFaults(TimePoint from);
   void planFault(TimePoint begin);
   std::vector<Vm *> pickVictims();
   void beginExcuse(Vm &vm) { ++vm.Excuses; }
