LibFleet: Reject messages with times beyond the range of the clock

Times on other VMs' clocks are new in messages; a value near 2^64 ms overflowed when it was converted. Such a message is now no message. The test failed before.

--- a/Libraries/LibFleet/FleetCodec.cpp
+++ b/Libraries/LibFleet/FleetCodec.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+// Decades; larger values would exceed the range of our clocks.
+constexpr std::uint64_t MaxClockMs = 1'000'000'000'000;
+
 enum Flag : std::uint32_t { ReadyFlag = 1, StoppingFlag = 2, StoreDisconnectedFlag = 4 };
 
 void encode(const FleetVm &vm, fleetwire::Vm &out) {
@@ -90,6 +93,8 @@
   fleetwire::Message in;
   if (!parse(in, bytes) || in.sender().ip() == 0)
     return std::nullopt;
+  if (in.sent_at_ms() > MaxClockMs || in.replica_confirmed_at().ms() > MaxClockMs)
+    return std::nullopt;
   FleetMessage message{.Sender = decode(in.sender()),
                        .SentAtMs = in.sent_at_ms(),
                        .ReplicaConfirmedAt = {},
--- a/Tests/LibFleet/TestFleet.cpp
+++ b/Tests/LibFleet/TestFleet.cpp
@@ -253,6 +253,19 @@
   EXPECT_EQ(toText(ip(1), 80), "10.0.0.1:80");
 }
 
+// Guards against times in a message that exceed the range of this VM's clock.
+TEST(FleetCodec, RejectsImpossibleTimes) {
+  FleetMessage message{.Sender = {.Ip = ip(1), .DataCentre = "a"}, .SentAtMs = UINT64_MAX};
+  EXPECT_FALSE(decodeFleetMessage(encodeFleetMessage(message)));
+  message.SentAtMs = 5000;
+  message.ReplicaConfirmedAt = ClockReading{.Vm = ip(1), .Incarnation = 1, .Ms = 4000};
+  const auto decoded = decodeFleetMessage(encodeFleetMessage(message));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(decoded->ReplicaConfirmedAt, message.ReplicaConfirmedAt);
+  message.ReplicaConfirmedAt->Ms = UINT64_MAX;
+  EXPECT_FALSE(decodeFleetMessage(encodeFleetMessage(message)));
+}
+
 // Guards against a data centre that has no reader until the reader's disconnection from the store
 // is known by gossip. In a benchmark run of kapokki-gw-grown with 37 VMs this took seconds.
 TEST(FleetMembership, NextReaderLearnsOfADisconnectionAtOnce) {
