Tests: Let links of the model fleet lose and delay messages

Links of VMs now also lose up to 70% of their messages or deliver them up to 1.5 s late. The VM concerned is excused while that lasts, as the others depend on it they are not.

The runs of the other tests are the same.

--- a/Tests/LibFleet/ModelFleet.cpp
+++ b/Tests/LibFleet/ModelFleet.cpp
@@ -18,6 +18,8 @@
 constexpr Duration PullTimeout = ms(1200);
 constexpr Duration MaxTimerDelay = ms(20);
 constexpr Duration StoreAnswerTime = ms(4);
+constexpr Duration FirstRetransmission = ms(200);
+constexpr int MaxRetransmissions = 6;
 constexpr double DatagramLoss = 0.01;
 // A clock starts anew when its VM does.
 constexpr Duration MaxClockOffset = std::chrono::seconds{900};
@@ -104,6 +106,19 @@
   vm.Fleet.reset();
 }
 
+bool ModelFleet::losesDatagram(const Vm &from, const Vm &to) {
+  return chance(std::max({DatagramLoss, from.LinkLoss, to.LinkLoss}));
+}
+
+Duration ModelFleet::delayOnLink(const Vm &vm) {
+  Duration delay = vm.LinkDelay;
+  if (vm.LinkLoss == 0)
+    return delay;
+  for (int n = 0; n < MaxRetransmissions && chance(vm.LinkLoss); ++n)
+    delay += FirstRetransmission * (1 << n);
+  return delay;
+}
+
 void ModelFleet::tick(Vm &vm) {
   send(vm, vm.Fleet->tick(clockOf(vm)));
   inVm(vm, FleetMembership::GossipInterval + between(Duration::zero(), MaxTimerDelay),
@@ -116,9 +131,9 @@
     if (it.To - FirstAddress >= Vms.size())
       continue;
     Vm &to = vmAt(it.To);
-    if (!to.isRunning() || from.Cuts[ToVms] > 0 || to.Cuts[FromVms] > 0 || chance(DatagramLoss))
+    if (!to.isRunning() || from.Cuts[ToVms] > 0 || to.Cuts[FromVms] > 0 || losesDatagram(from, to))
       continue;
-    inVm(to, between(std::chrono::microseconds{300}, ms(3)),
+    inVm(to, between(std::chrono::microseconds{300}, ms(3)) + from.LinkDelay + to.LinkDelay,
          [this, &to, message = it.Message] { receive(to, message); });
   }
 }
@@ -145,7 +160,11 @@
   if (!source.isRunning() || source.Freezes > 0 || !isOpen(vm, source) || !isOpen(source, vm))
     return inVm(vm, PullTimeout, [this, &vm] { endPull(vm, std::nullopt, {}, 0); });
   const StoreDelta delta = source.Fleet->replica().changesSince(after);
-  inVm(vm, between(ms(2), ms(10)),
+  const Duration onLinks =
+      delayOnLink(vm) + delayOnLink(source) + delayOnLink(source) + delayOnLink(vm);
+  if (onLinks > PullTimeout)
+    return inVm(vm, PullTimeout, [this, &vm] { endPull(vm, std::nullopt, {}, 0); });
+  inVm(vm, between(ms(2), ms(10)) + onLinks,
        [this, &vm, peer, delta, after] { endPull(vm, peer, delta, after); });
 }
 
@@ -174,7 +193,7 @@
   if (vm.Cuts[ToStore] > 0)
     return;
   const int generation = vm.Generation;
-  at(Now + between(ms(1), ms(3)), [this, &vm, call, state, generation] {
+  at(Now + between(ms(1), ms(3)) + delayOnLink(vm), [this, &vm, call, state, generation] {
     if (vm.Generation == generation)
       answerCall(vm, call, state);
   });
@@ -217,10 +236,11 @@
 void ModelFleet::respond(Vm &vm, const CallState &state, std::function<ReplicaUpdate()> take) {
   if (vm.Cuts[FromStore] > 0)
     return;
-  inVm(vm, StoreAnswerTime + between(ms(1), ms(3)), [this, &vm, state, take = std::move(take)] {
-    if (!std::exchange(*state, true))
-      endCall(vm, take());
-  });
+  inVm(vm, StoreAnswerTime + between(ms(1), ms(3)) + delayOnLink(vm),
+       [this, &vm, state, take = std::move(take)] {
+         if (!std::exchange(*state, true))
+           endCall(vm, take());
+       });
 }
 
 void ModelFleet::endCall(Vm &vm, const ReplicaUpdate &update) {
--- a/Tests/LibFleet/ModelFleet.h
+++ b/Tests/LibFleet/ModelFleet.h
@@ -20,6 +20,8 @@
   Duration ChangeDeadline = std::chrono::seconds{2};
   /// Whether VMs lose power, freeze and are cut off.
   bool HasFaults = true;
+  /// Whether links of VMs also lose or delay messages.
+  bool HasLinkFaults = false;
   bool HasChanges = true;
   /// How long the store refuses all calls, from the end of the calm start on.
   Duration StoreOutage{};
@@ -28,8 +30,10 @@
 /// A fleet of VMs and a store that are connected by a simulated network. VMs run the code that
 /// decides what they send and ask; one seed gives one run. VMs lose power, freeze and are cut off
 /// from each other or from the store, in one or both directions, often within a second of a change.
+/// Links lose messages or deliver them late.
 ///
-/// A VM is in touch if for `SettleTime` its process ran and reached the store in both directions.
+/// A VM is in touch if for `SettleTime` its process ran, its link worked as usual, and it reached
+/// the store in both directions.
 /// Unless it has an outage, the store works all the time, so a VM in touch must know each change in
 /// time, whatever happens to the other VMs.
 class ModelFleet {
@@ -60,6 +64,9 @@
     std::deque<std::function<void()>> Deferred;
     /// Cuts in force, by direction: to and from the store, to and from other VMs.
     std::array<int, 4> Cuts{};
+    /// Faults of the VM's link: the part of the messages that is lost and what all are delayed by.
+    double LinkLoss = 0;
+    Duration LinkDelay{};
     /// Faults in force that excuse the VM, and when the last one ended.
     int Excuses = 0;
     TimePoint ExcusedUntil{};
@@ -91,6 +98,11 @@
 
   Duration between(Duration least, Duration most);
   bool chance(double probability) { return Rng.unit() < probability; }
+  /// Whether a datagram is lost on the links of its sender and its receiver.
+  bool losesDatagram(const Vm &from, const Vm &to);
+  /// Additional time that a message over a connection takes on the link of a VM, which sends it
+  /// again until it arrives.
+  Duration delayOnLink(const Vm &vm);
   void at(TimePoint time, std::function<void()> run);
   /// Runs something in a VM's process: not at all after it lost power, and later if it is frozen.
   void inVm(Vm &vm, Duration delay, std::function<void()> run);
@@ -122,6 +134,7 @@
   void losePower(const std::vector<Vm *> &victims, TimePoint begin, Duration length);
   void freeze(const std::vector<Vm *> &victims, TimePoint begin, Duration length);
   void cut(const std::vector<Vm *> &victims, TimePoint begin, Duration length);
+  void harmLinks(const std::vector<Vm *> &victims, TimePoint begin, Duration length);
   bool isInTouch(const Vm &vm) const;
   void check();
 
--- a/Tests/LibFleet/ModelFleetFaults.cpp
+++ b/Tests/LibFleet/ModelFleetFaults.cpp
@@ -11,6 +11,8 @@
 constexpr Duration FaultsSpan = std::chrono::seconds{12};
 constexpr Duration SettleTime = std::chrono::seconds{3};
 constexpr Duration RestartDelay = ms(50);
+constexpr double MaxLinkLoss = 0.7;
+constexpr Duration MaxLinkDelay = ms(1500);
 
 } // namespace
 
@@ -28,13 +30,15 @@
   at(begin, [this, begin] {
     const auto victims = pickVictims();
     const Duration length = between(ms(300), ms(6000));
-    const auto kind = Rng.below(3);
+    const auto kind = Rng.below(Options.HasLinkFaults ? 4 : 3);
     if (kind == 0)
       losePower(victims, begin, length);
     else if (kind == 1)
       freeze(victims, begin, length);
-    else
+    else if (kind == 2)
       cut(victims, begin, length);
+    else
+      harmLinks(victims, begin, length);
   });
 }
 
@@ -103,4 +107,19 @@
   }
 }
 
+void ModelFleet::harmLinks(const std::vector<Vm *> &victims, TimePoint begin, Duration length) {
+  const double loss = chance(0.5) ? MaxLinkLoss * Rng.unit() : 0;
+  const Duration delay = loss == 0 || chance(0.3) ? between(ms(20), MaxLinkDelay) : Duration{};
+  for (Vm *vm : victims) {
+    beginExcuse(*vm);
+    vm->LinkLoss = loss;
+    vm->LinkDelay = delay;
+    at(begin + length, [this, vm] {
+      vm->LinkLoss = 0;
+      vm->LinkDelay = {};
+      endExcuse(*vm);
+    });
+  }
+}
+
 } // namespace wigeonlift::test
--- a/Tests/LibFleet/TestChangeDeadline.cpp
+++ b/Tests/LibFleet/TestChangeDeadline.cpp
@@ -64,6 +64,13 @@
                       40001, 2);
 }
 
+// Guards against VMs that wait for, or believe, messages of VMs whose links lose or delay them.
+TEST(ChangeDeadline, FleetsWithBadLinksKnowChangesInTime) {
+  expectChangesInTime({.Vms = 12, .DataCentres = 4, .HasLinkFaults = true}, 80001, 700);
+  expectChangesInTime({.Vms = 16, .DataCentres = 3, .HasLinkFaults = true}, 81001, 500);
+  expectChangesInTime({.Vms = 3, .DataCentres = 2, .HasLinkFaults = true}, 83001, 1000);
+}
+
 // Guards against VMs that ask the store for themselves although the reader of their data centre
 // does so for them.
 TEST(ChangeDeadline, CalmFleetsAskTheStoreRarely) {
