--- a/Libraries/LibDiscovery/ReplicaFreshness.h
+++ b/Libraries/LibDiscovery/ReplicaFreshness.h
@@ -62,6 +62,11 @@
   TimePoint currentAt() const { return ConfirmedAt.value_or(StartedAt); }
   /// When the store must have confirmed the replica again at the latest if this VM is the reader.
   TimePoint confirmationDue() const { return currentAt() + Limits.ConfirmInterval; }
+  /// When this VM asks its reader, which should have told by then that the store has confirmed its
+  /// replica. The message may have been lost.
+  TimePoint questionDue() const {
+    return currentAt() + (Limits.ConfirmInterval + Limits.MinAgeLimit) / 2;
+  }
   /// When the replica is too old to wait for other VMs any longer.
   TimePoint expiresAt() const { return currentAt() + AgeLimit; }
   const FreshnessLimits &limits() const { return Limits; }
--- a/Libraries/LibFleet/FleetReplica.cpp
+++ b/Libraries/LibFleet/FleetReplica.cpp
@@ -9,12 +9,7 @@
 
 std::vector<FleetDatagram> FleetReplica::tick(TimePoint now) {
   Clocks.expire(now);
-  auto datagrams = Members.tick(now);
-  // The message with which the reader tells that its replica was confirmed may be lost.
-  if (now >= Freshness.confirmationDue())
-    if (auto question = Members.askReader(now))
-      datagrams.push_back(*std::move(question));
-  return datagrams;
+  return Members.tick(now);
 }
 
 ReplicaUpdate FleetReplica::didReceive(const FleetMessage &message, TimePoint now) {
--- a/Libraries/LibFleet/StoreSync.cpp
+++ b/Libraries/LibFleet/StoreSync.cpp
@@ -38,6 +38,8 @@
   updateConnection(now);
   switch (LastCall.Step) {
   case StoreSyncStep::WaitForPeers:
+    if (now >= Fleet.freshness().questionDue())
+      LastCall.Question = Fleet.members().askReader(now);
     break;
   case StoreSyncStep::CheckRevision:
     LastCall.Timeout = CheckTimeout;
@@ -62,7 +64,9 @@
       Policy.pause(Rng.unit(), WasWatchIdle ? Duration::zero() : untilConfirmation);
   if (LastCall.Step != StoreSyncStep::WaitForPeers)
     return std::max(Duration::zero(), pause);
-  return std::clamp(freshness.expiresAt() - now, Duration::zero(), pause);
+  const bool wasQuestionDue = now >= freshness.questionDue();
+  const TimePoint end = wasQuestionDue ? freshness.expiresAt() : freshness.questionDue();
+  return std::clamp(end - now, Duration::zero(), pause);
 }
 
 ReplicaUpdate StoreSync::didCheck(StoreRevision storeRevision, TimePoint now) {
--- a/Libraries/LibFleet/StoreSync.h
+++ b/Libraries/LibFleet/StoreSync.h
@@ -14,6 +14,8 @@
   Duration Wait{};
   /// Time limit of the call, of each page for a read of all keys.
   Duration Timeout{};
+  /// While waiting for other VMs: a message to send to the reader.
+  std::optional<FleetDatagram> Question{};
 };
 
 /// Decides which calls a VM makes to the store, from its place in the fleet and from the outcomes
--- a/Services/Gateway/FleetTask.h
+++ b/Services/Gateway/FleetTask.h
@@ -32,6 +32,7 @@
   std::vector<std::string> callersAddresses(std::string_view dataCentre);
   /// Sends the messages of an update and tells the gateway of its changes.
   void publish(const ReplicaUpdate &update, std::string_view source);
+  void send(const std::vector<FleetDatagram> &sends);
   FleetReplica &fleet() { return Fleet; }
   const FleetMembership &members() const { return Fleet.members(); }
   const StoreReplica &replica() const { return Fleet.replica(); }
@@ -49,7 +50,6 @@
   void handle(const FleetMessage &message);
   /// Logs when the replica has become older than its limit, and when it is current again.
   void logReplicaAge(TimePoint now);
-  void send(const std::vector<FleetDatagram> &sends);
   void sendOne(const FleetDatagram &send);
 
   Gateway &Owner;
--- a/Services/Gateway/StoreTask.cpp
+++ b/Services/Gateway/StoreTask.cpp
@@ -61,6 +61,8 @@
 asio::awaitable<void> StoreTask::perform(StoreCall call) {
   switch (call.Step) {
   case StoreSyncStep::WaitForPeers:
+    if (call.Question)
+      Peers.send({*call.Question});
     co_return;
   case StoreSyncStep::CheckRevision: {
     const auto revision = co_await Client.readRevision(call.Timeout);
--- a/Tests/LibFleet/ModelFleet.cpp
+++ b/Tests/LibFleet/ModelFleet.cpp
@@ -177,10 +177,12 @@
 
 void ModelFleet::syncWithStore(Vm &vm) {
   const StoreCall call = vm.Sync->next(clockOf(vm));
-  if (call.Step == StoreSyncStep::WaitForPeers)
-    return inVm(vm, vm.Sync->pause(clockOf(vm)) + between(Duration::zero(), MaxTimerDelay),
-                [this, &vm] { syncWithStore(vm); });
-  callStore(vm, call);
+  if (call.Step != StoreSyncStep::WaitForPeers)
+    return callStore(vm, call);
+  if (call.Question)
+    send(vm, {*call.Question});
+  inVm(vm, vm.Sync->pause(clockOf(vm)) + between(Duration::zero(), MaxTimerDelay),
+       [this, &vm] { syncWithStore(vm); });
 }
 
 void ModelFleet::callStore(Vm &vm, const StoreCall &call) {
--- /dev/null
+++ b/Tests/LibFleet/TestStoreSync.cpp
@@ -0,0 +1,57 @@
+#include <LibFleet/LibFleet.h>
+
+#include <gtest/gtest.h>
+
+namespace wigeonlift {
+
+namespace {
+
+constexpr TimePoint Start{std::chrono::seconds{100}};
+constexpr Duration ms(int n) { return std::chrono::milliseconds{n}; }
+constexpr FreshnessLimits Limits = FreshnessLimits::forChangeDeadline(std::chrono::seconds{2});
+constexpr VmAddress Reader = 0x0a000001U;
+
+/// A VM whose data centre has another reader, with a replica that was confirmed at `Start`.
+class StoreSyncOfANonReader : public testing::Test {
+protected:
+  StoreSyncOfANonReader() {
+    Sync.didReceiveFullCopy();
+    Fleet.didReadStore({.Items = {}, .IsComplete = true, .AsOf = 7}, 0, Start, Start);
+    // The heavier VM is preferred as the reader.
+    const FleetVm reader{
+        .Ip = Reader, .DataCentre = "a", .Incarnation = 1, .Weight = 1000, .Revision = 7};
+    Fleet.didReceive({.Sender = reader}, Start);
+  }
+
+  FleetReplica Fleet{FleetVm{.Ip = 0x0a000002U, .DataCentre = "a", .Incarnation = 1, .Weight = 100},
+                     {},
+                     Limits,
+                     1,
+                     Start};
+  StoreSync Sync{Fleet, 1};
+};
+
+} // namespace
+
+// Guards against a VM that misses the message of its reader and asks the store, although the reader
+// could tell it.
+TEST_F(StoreSyncOfANonReader, AsksTheReaderBeforeTheStore) {
+  TimePoint now = Start;
+  int questions = 0;
+  while (now < Start + Limits.MinAgeLimit) {
+    const StoreCall call = Sync.next(now);
+    ASSERT_EQ(call.Step, StoreSyncStep::WaitForPeers);
+    if (call.Question) {
+      EXPECT_GE(now, Start + Limits.ConfirmInterval);
+      EXPECT_EQ(call.Question->To, Reader);
+      ++questions;
+    }
+    const Duration pause = Sync.pause(now);
+    ASSERT_GT(pause, Duration::zero());
+    now += pause;
+  }
+  EXPECT_EQ(questions, 1);
+  EXPECT_LE(now, Start + Limits.MaxAgeLimit);
+}
+
+} // namespace wigeonlift
