LibFleet: Tell times on the receiver's clock, never later than the true ones

Cause: a VM converted times on another VM's clock by messages from that VM. They show only that the clocks differ by no more than the time that the fastest of them took; if all of them took 1.4 s, as over a link that is full, times looked 1.4 s younger. To trust an estimate only after two messages apart doesn't help, since both may take long.

Now the sender converts. A message that it got shows how far its clock is ahead of the receiver's at most, and subtracting that gives a time on the receiver's clock that is too early at worst. A VM whose copy is due to be confirmed asks the sender of a message that tells no time, since that one may not know its clock.

--- a/Libraries/LibFleet/FleetCodec.cpp
+++ b/Libraries/LibFleet/FleetCodec.cpp
@@ -36,14 +36,13 @@
           .Revision = in.revision()};
 }
 
-void encode(const ClockReading &reading, fleetwire::ClockReading &out) {
-  out.set_ip(reading.Vm);
-  out.set_incarnation(reading.Incarnation);
-  out.set_ms(reading.Ms);
+AnswerWanted decodeWanted(std::uint32_t wanted) {
+  return wanted <= static_cast<std::uint32_t>(AnswerWanted::All) ? static_cast<AnswerWanted>(wanted)
+                                                                 : AnswerWanted::None;
 }
 
-ClockReading decode(const fleetwire::ClockReading &in) {
-  return {.Vm = in.ip(), .Incarnation = in.incarnation(), .Ms = in.ms()};
+bool isPossible(const fleetwire::Message &in) {
+  return in.sent_at_ms() <= MaxClockMs && in.replica_confirmed_at().ms() <= MaxClockMs;
 }
 
 void encode(const StoreDelta &delta, StoreRevision deltaAfter, fleetwire::Delta &out) {
@@ -80,10 +79,12 @@
   encode(message.Sender, *out.mutable_sender());
   for (const FleetVm &it : message.Others)
     encode(it, *out.add_others());
-  out.set_wants_answer(message.WantsAnswer);
+  out.set_wanted(static_cast<std::uint32_t>(message.Wanted));
   out.set_sent_at_ms(message.SentAtMs);
-  if (message.ReplicaConfirmedAt)
-    encode(*message.ReplicaConfirmedAt, *out.mutable_replica_confirmed_at());
+  if (const auto &reading = message.ReplicaConfirmedAt) {
+    out.mutable_replica_confirmed_at()->set_incarnation(reading->Incarnation);
+    out.mutable_replica_confirmed_at()->set_ms(reading->Ms);
+  }
   if (message.Delta)
     encode(*message.Delta, message.DeltaAfter, *out.mutable_delta());
   return out.SerializeAsString();
@@ -91,21 +92,21 @@
 
 std::optional<FleetMessage> decodeFleetMessage(std::string_view bytes) {
   fleetwire::Message in;
-  if (!parse(in, bytes) || in.sender().ip() == 0)
-    return std::nullopt;
-  if (in.sent_at_ms() > MaxClockMs || in.replica_confirmed_at().ms() > MaxClockMs)
+  if (!parse(in, bytes) || in.sender().ip() == 0 || !isPossible(in))
     return std::nullopt;
   FleetMessage message{.Sender = decode(in.sender()),
                        .SentAtMs = in.sent_at_ms(),
                        .ReplicaConfirmedAt = {},
                        .Others = {},
-                       .WantsAnswer = in.wants_answer(),
+                       .Wanted = decodeWanted(in.wanted()),
                        .Delta = {},
                        .DeltaAfter = in.delta().after()};
   for (const auto &it : in.others())
     message.Others.push_back(decode(it));
   if (in.has_replica_confirmed_at())
-    message.ReplicaConfirmedAt = decode(in.replica_confirmed_at());
+    message.ReplicaConfirmedAt =
+        ClockReading{.Incarnation = in.replica_confirmed_at().incarnation(),
+                     .Ms = in.replica_confirmed_at().ms()};
   if (in.has_delta())
     message.Delta = decode(in.delta());
   return message;
--- a/Libraries/LibFleet/FleetMembership.cpp
+++ b/Libraries/LibFleet/FleetMembership.cpp
@@ -60,7 +60,7 @@
   std::vector<FleetDatagram> datagrams;
   for (const auto &[ip, peer] : Peers)
     if (isAlive(peer, now))
-      datagrams.push_back({.To = ip, .Message = messageWithSelf(now)});
+      datagrams.push_back(addressTo(ip, messageWithSelf(now), now));
   return datagrams;
 }
 
@@ -74,7 +74,7 @@
   std::vector<FleetDatagram> datagrams;
   for (const FleetVm &it : readerCandidates(Self.DataCentre, now))
     if (it.Ip != Self.Ip && datagrams.size() < NextReadersNotified)
-      datagrams.push_back({.To = it.Ip, .Message = messageWithSelf(now)});
+      datagrams.push_back(addressTo(it.Ip, messageWithSelf(now), now));
   return datagrams;
 }
 
@@ -86,53 +86,61 @@
   return vm;
 }
 
-ClockReading FleetMembership::clockReading(TimePoint time) const {
-  return {.Vm = Self.Ip,
-          .Incarnation = Self.Incarnation,
-          .Ms = static_cast<std::uint64_t>(toMilliseconds(time.time_since_epoch()))};
-}
-
 FleetMessage FleetMembership::messageWithSelf(TimePoint now) const {
   return {.Sender = selfAt(now),
-          .SentAtMs = clockReading(now).Ms,
-          .ReplicaConfirmedAt = ReplicaConfirmedAt};
+          .SentAtMs = static_cast<std::uint64_t>(toMilliseconds(now.time_since_epoch()))};
+}
+
+FleetDatagram FleetMembership::addressTo(VmAddress to, FleetMessage message, TimePoint now) const {
+  if (ReplicaConfirmedAt)
+    message.ReplicaConfirmedAt = Clocks.toClockOf(to, *ReplicaConfirmedAt, now);
+  return {.To = to, .Message = std::move(message)};
 }
 
 std::vector<FleetDatagram> FleetMembership::tick(TimePoint now) {
   ++TickCount;
   ++Self.HeartbeatCount;
+  Clocks.expire(now);
   std::erase_if(Peers, [&](const auto &it) { return now - it.second.HeardAt > ForgetAfter; });
   std::vector<FleetDatagram> datagrams;
   std::set<VmAddress> receivers;
-  const auto addMessage = [&](std::optional<VmAddress> to, bool isToRemote, bool wantsAnswer) {
+  const auto addMessage = [&](std::optional<VmAddress> to, bool isToRemote, AnswerWanted wanted) {
     if (!to || !receivers.insert(*to).second)
       return;
-    datagrams.push_back({.To = *to, .Message = composeMessage(isToRemote, now)});
-    datagrams.back().Message.WantsAnswer = wantsAnswer;
+    datagrams.push_back(addressTo(*to, composeMessage(isToRemote, now), now));
+    datagrams.back().Message.Wanted = wanted;
   };
   LocalPeerCount = static_cast<std::size_t>(std::ranges::count_if(
       Peers, [&](const auto &it) { return isInOwnDataCentre(it.second.Vm); }));
-  addMessage(pickPeer(true, now), false, false);
+  addMessage(pickPeer(true, now), false, AnswerWanted::None);
   if (LocalPeerCount > MaxLocalPeersForOneMessage)
-    addMessage(pickPeer(true, now), false, false);
+    addMessage(pickPeer(true, now), false, AnswerWanted::None);
   if (TickCount % RemoteGossipIntervalTicks == 0)
-    addMessage(pickPeer(false, now), true, false);
+    addMessage(pickPeer(false, now), true, AnswerWanted::None);
   const bool isJoining = now - StartedAt < JoinDuration;
   if (!Seeds.empty() && (isJoining || TickCount % SeedContactIntervalTicks == 0 || Peers.empty())) {
     const VmAddress seed = Seeds[Rng.below(Seeds.size())];
-    addMessage(seed, false, Peers.empty() || isJoining);
+    addMessage(seed, false, Peers.empty() || isJoining ? AnswerWanted::All : AnswerWanted::None);
   }
   return datagrams;
 }
 
 std::vector<FleetDatagram> FleetMembership::didReceive(const FleetMessage &message, TimePoint now) {
-  const bool isNew = !Peers.contains(message.Sender.Ip);
+  const VmAddress sender = message.Sender.Ip;
+  const bool isNew = !Peers.contains(sender);
   merge(message.Sender, now);
   for (const FleetVm &it : message.Others)
     merge(it, now);
-  if (message.Sender.Ip == Self.Ip || !(message.WantsAnswer || isNew))
+  if (sender == Self.Ip)
     return {};
-  return {{.To = message.Sender.Ip, .Message = composeMessage(false, now)}};
+  if (message.SentAtMs > 0)
+    Clocks.didReceive(sender, {.Incarnation = message.Sender.Incarnation, .Ms = message.SentAtMs},
+                      now);
+  if (message.Wanted == AnswerWanted::All || isNew)
+    return {addressTo(sender, composeMessage(false, now), now)};
+  if (message.Wanted == AnswerWanted::Own)
+    return {addressTo(sender, messageWithSelf(now), now)};
+  return {};
 }
 
 std::vector<FleetDatagram> FleetMembership::propagate(const StoreDelta &delta,
@@ -163,7 +171,7 @@
   std::vector<FleetDatagram> datagrams;
   datagrams.reserve(receivers.size());
   for (const VmAddress it : receivers)
-    datagrams.push_back({.To = it, .Message = out});
+    datagrams.push_back(addressTo(it, out, now));
   return datagrams;
 }
 
@@ -173,17 +181,19 @@
   std::vector<FleetDatagram> datagrams;
   for (const auto &[ip, peer] : Peers)
     if (isInOwnDataCentre(peer.Vm) && isAlive(peer, now))
-      datagrams.push_back({.To = ip, .Message = out});
+      datagrams.push_back(addressTo(ip, out, now));
   return datagrams;
 }
 
+FleetDatagram FleetMembership::ask(VmAddress vm, TimePoint now) const {
+  FleetMessage question = messageWithSelf(now);
+  question.Wanted = AnswerWanted::Own;
+  return addressTo(vm, std::move(question), now);
+}
+
 std::optional<FleetDatagram> FleetMembership::askReader(TimePoint now) const {
   const auto reader = otherReader(now);
-  if (!reader)
-    return std::nullopt;
-  FleetDatagram datagram{.To = reader->Ip, .Message = messageWithSelf(now)};
-  datagram.Message.WantsAnswer = true;
-  return datagram;
+  return reader ? std::optional{ask(reader->Ip, now)} : std::nullopt;
 }
 
 bool FleetMembership::isInOwnDataCentre(VmAddress vm) const {
--- a/Libraries/LibFleet/FleetMembership.h
+++ b/Libraries/LibFleet/FleetMembership.h
@@ -64,7 +64,7 @@
   void setReady(bool isReady) { Self.IsReady = isReady; }
   void setRevision(StoreRevision revision) { Self.Revision = revision; }
   /// The replica of this VM has all changes that the store had acknowledged by then.
-  void setReplicaConfirmedAt(const ClockReading &confirmedAt) { ReplicaConfirmedAt = confirmedAt; }
+  void setReplicaConfirmedAt(TimePoint confirmedAt) { ReplicaConfirmedAt = confirmedAt; }
   /// Sets whether this VM's calls to the store fail. If they have just begun to fail, returns
   /// messages that notify the next reader candidates directly, since gossip would take too long.
   std::vector<FleetDatagram> setStoreDisconnected(bool isDisconnected, TimePoint now);
@@ -83,19 +83,16 @@
   /// them.
   std::vector<FleetDatagram> propagate(const StoreDelta &delta, StoreRevision deltaAfter,
                                        PropagationScope scope, TimePoint now);
-  /// Returns a message with the state of this VM only.
-  FleetMessage messageWithSelf(TimePoint now) const;
   /// Returns messages that tell the other VMs of the data centre the present state of this VM.
   std::vector<FleetDatagram> announce(TimePoint now);
-  /// Returns a message that asks the reader of this data centre for its present state, unless this
-  /// VM is the reader.
+  /// Returns a message that asks a VM for its present state.
+  FleetDatagram ask(VmAddress vm, TimePoint now) const;
+  /// Returns a message that asks the reader of this data centre, unless this VM is the reader.
   std::optional<FleetDatagram> askReader(TimePoint now) const;
   /// Returns false for unknown VMs.
   bool isInOwnDataCentre(VmAddress vm) const;
 
   const FleetVm &self() const { return Self; }
-  /// A time on this process's clock, as other VMs see it.
-  ClockReading clockReading(TimePoint time) const;
   /// All VMs that are considered alive, including this one.
   std::vector<FleetVm> aliveVms(TimePoint now) const;
   /// Whether this VM watches the store for its data centre.
@@ -132,6 +129,10 @@
   /// The state of this VM with its ages as of now.
   FleetVm selfAt(TimePoint now) const;
   void merge(const FleetVm &vm, TimePoint now);
+  /// Returns a message with the state of this VM only.
+  FleetMessage messageWithSelf(TimePoint now) const;
+  /// Adds what depends on the receiver to a message.
+  FleetDatagram addressTo(VmAddress to, FleetMessage message, TimePoint now) const;
   /// VMs of a data centre in the order of preference as readers. Stopping VMs and VMs without a
   /// copy of the store are left out.
   std::vector<FleetVm> readerCandidates(std::string_view dataCentre, TimePoint now) const;
@@ -150,9 +151,10 @@
   Random Rng;
   TimePoint StartedAt;
   std::map<VmAddress, Peer> Peers;
+  PeerClocks Clocks;
   /// When the store last answered a call of this VM.
   TimePoint StoreContactAt{};
-  std::optional<ClockReading> ReplicaConfirmedAt;
+  std::optional<TimePoint> ReplicaConfirmedAt;
   std::uint64_t TickCount = 0;
   /// Number of other VMs of the own data centre at the last tick, including those that are
   /// considered dead.
--- a/Libraries/LibFleet/FleetMessage.h
+++ b/Libraries/LibFleet/FleetMessage.h
@@ -35,17 +35,24 @@
   bool operator==(const FleetVm &) const = default;
 };
 
+/// What a VM wants to be answered.
+enum class AnswerWanted : std::uint8_t {
+  None,
+  Own, ///< The state of the receiver, its clock, and how recent its replica is.
+  All, ///< The states of other VMs as well.
+};
+
 /// A datagram between VMs.
 struct FleetMessage {
   FleetVm Sender;
-  /// On the sender's clock; 0 if unknown.
+  /// On the sender's clock, in milliseconds; 0 if unknown.
   std::uint64_t SentAtMs = 0;
-  /// The sender's replica has all changes that the store had acknowledged by then, on the clock of
-  /// the VM that asked the store. Empty until that is known.
+  /// The sender's replica has all changes that the store had acknowledged by then, on the
+  /// receiver's clock. Empty if that isn't known, or not how the receiver's clock runs.
   std::optional<ClockReading> ReplicaConfirmedAt{};
   /// States of VMs other than the sender.
   std::vector<FleetVm> Others{};
-  bool WantsAnswer = false;
+  AnswerWanted Wanted = AnswerWanted::None;
   /// Changes of the store after the revision `DeltaAfter`, or a complete copy of the store.
   std::optional<StoreDelta> Delta{};
   StoreRevision DeltaAfter = 0;
--- a/Libraries/LibFleet/FleetReplica.cpp
+++ b/Libraries/LibFleet/FleetReplica.cpp
@@ -7,10 +7,12 @@
 
 namespace wigeonlift {
 
-std::vector<FleetDatagram> FleetReplica::tick(TimePoint now) {
-  Clocks.expire(now);
-  return Members.tick(now);
-}
+namespace {
+
+// Bounds the questions that follow from messages which don't tell how recent the replica is.
+constexpr Duration MinQuestionInterval = std::chrono::milliseconds{100};
+
+} // namespace
 
 ReplicaUpdate FleetReplica::didReceive(const FleetMessage &message, TimePoint now) {
   ReplicaUpdate update{.Datagrams = Members.didReceive(message, now),
@@ -18,34 +20,27 @@
   if (message.Delta && Replica.revision() >= message.DeltaAfter &&
       message.Delta->AsOf > Replica.revision())
     apply(*message.Delta, message.DeltaAfter, scopeOfChangesFrom(message.Sender.Ip), now, update);
-  didReceiveConfirmation(message, now);
+  didReceiveConfirmation(message, now, update);
   return update;
 }
 
-void FleetReplica::didReceiveConfirmation(const FleetMessage &message, TimePoint now) {
-  const FleetVm &sender = message.Sender;
-  if (message.SentAtMs > 0)
-    Clocks.didReceive({.Vm = sender.Ip, .Incarnation = sender.Incarnation, .Ms = message.SentAtMs},
-                      now);
-  if (!message.ReplicaConfirmedAt || sender.Revision > Replica.revision())
+void FleetReplica::didReceiveConfirmation(const FleetMessage &message, TimePoint now,
+                                          ReplicaUpdate &update) {
+  if (message.Sender.Revision > Replica.revision())
     return;
-  if (const auto confirmedAt = toOwnClock(*message.ReplicaConfirmedAt, now))
-    didConfirm(*message.ReplicaConfirmedAt, std::min(*confirmedAt, now));
-}
-
-std::optional<TimePoint> FleetReplica::toOwnClock(const ClockReading &reading,
-                                                  TimePoint now) const {
-  // What this VM has confirmed itself comes back from the others.
-  return reading.Vm == Members.self().Ip ? std::nullopt : Clocks.toOwnClock(reading, now);
+  const auto &confirmedAt = message.ReplicaConfirmedAt;
+  if (confirmedAt && confirmedAt->Incarnation == Members.self().Incarnation)
+    return didConfirm(std::min(TimePoint{std::chrono::milliseconds{confirmedAt->Ms}}, now));
+  // The sender may not know this VM's clock yet. The question shows it.
+  if (now < Freshness.questionDue() || now - AskedAt < MinQuestionInterval)
+    return;
+  AskedAt = now;
+  update.Datagrams.push_back(Members.ask(message.Sender.Ip, now));
 }
 
 void FleetReplica::didConfirm(TimePoint confirmedAt) {
-  didConfirm(Members.clockReading(confirmedAt), confirmedAt);
-}
-
-void FleetReplica::didConfirm(const ClockReading &reading, TimePoint confirmedAt) {
   if (Freshness.didConfirm(confirmedAt))
-    Members.setReplicaConfirmedAt(reading);
+    Members.setReplicaConfirmedAt(confirmedAt);
 }
 
 std::vector<FleetDatagram> FleetReplica::announceAge(const ReplicaUpdate &update, TimePoint now) {
--- a/Libraries/LibFleet/FleetReplica.h
+++ b/Libraries/LibFleet/FleetReplica.h
@@ -29,9 +29,6 @@
       : Members(std::move(self), std::move(seeds), rngSeed, startedAt),
         Freshness(limits, rngSeed, startedAt) {}
 
-  /// Returns the regular messages; to be called every `FleetMembership::GossipInterval`.
-  std::vector<FleetDatagram> tick(TimePoint now);
-
   /// Merges a message of another VM.
   ReplicaUpdate didReceive(const FleetMessage &message, TimePoint now);
   /// Merges changes after a revision that the store sent. They include all that the store had
@@ -58,14 +55,13 @@
   void apply(const StoreDelta &delta, StoreRevision after, PropagationScope scope, TimePoint now,
              ReplicaUpdate &update);
   PropagationScope scopeOfChangesFrom(VmAddress peer) const;
-  void didReceiveConfirmation(const FleetMessage &message, TimePoint now);
-  void didConfirm(const ClockReading &reading, TimePoint confirmedAt);
-  std::optional<TimePoint> toOwnClock(const ClockReading &reading, TimePoint now) const;
+  void didReceiveConfirmation(const FleetMessage &message, TimePoint now, ReplicaUpdate &update);
 
   FleetMembership Members;
   StoreReplica Replica;
   ReplicaFreshness Freshness;
-  PeerClocks Clocks;
+  /// When a message that didn't tell how recent the replica is was last answered by a question.
+  TimePoint AskedAt{};
 };
 
 } // namespace wigeonlift
--- a/Libraries/LibFleet/PeerClocks.h
+++ b/Libraries/LibFleet/PeerClocks.h
@@ -10,9 +10,8 @@
 
 namespace wigeonlift {
 
-/// A time on the clock of one process: milliseconds of its steady clock.
+/// A time on the clock of a process: milliseconds of its steady clock.
 struct ClockReading {
-  VmAddress Vm = 0;
   /// Incarnation of the process. A machine that restarts may start its clock anew.
   std::uint64_t Incarnation = 0;
   std::uint64_t Ms = 0;
@@ -20,37 +19,33 @@
   bool operator==(const ClockReading &) const = default;
 };
 
-/// Converts times on the clocks of other VMs to this VM's clock.
+/// Converts times of this VM to the clocks of other VMs, never to later times than the true ones.
 ///
-/// A message shows the difference between two clocks and the time that it was on its way, which is
-/// never negative but may be long: the network may delay it, and it waits in the socket while the
-/// process stands still. The smallest sum that was seen is therefore close to the difference of the
-/// clocks, and converted times are too late by no more than the fastest message took.
-///
-/// A single message may have waited for long. Unless a second one that arrives later shows the same
-/// difference, an estimate is used only for a moment.
+/// A message that arrives shows how far this VM's clock is ahead of its sender's at most: by the
+/// difference between the times of arrival and of sending, since a message may be on its way for
+/// long but never arrives before it is sent. The smallest difference that was seen is subtracted
+/// from the times that this VM tells the sender. The result is at worst too early, however long any
+/// message took or waited.
 class PeerClocks {
 public:
-  /// A message that was sent at `sentAt` has arrived.
-  void didReceive(const ClockReading &sentAt, TimePoint now);
-  /// Empty for processes whose clock isn't known well enough.
-  std::optional<TimePoint> toOwnClock(const ClockReading &reading, TimePoint now) const;
+  /// A message of a VM has arrived that was sent at `sentAt` on the clock of that VM.
+  void didReceive(VmAddress vm, const ClockReading &sentAt, TimePoint now);
+  /// Empty if no message of the VM has arrived, or if its clock started after that time.
+  std::optional<ClockReading> toClockOf(VmAddress vm, TimePoint time, TimePoint now) const;
   /// Forgets VMs that have sent nothing for a while.
   void expire(TimePoint now);
 
 private:
-  struct Estimate {
+  struct Peer {
     std::uint64_t Incarnation = 0;
-    /// What has to be added to a time on that clock.
-    Duration Offset{};
-    /// When a message first showed about this offset.
-    TimePoint FirstSeenAt{};
-    TimePoint UpdatedAt{};
-    /// Whether messages that arrived at different times showed this offset.
-    bool IsConfirmed = false;
+    /// How far this VM's clock is ahead, at most.
+    Duration Lead{};
+    TimePoint HeardAt{};
   };
 
-  std::map<VmAddress, Estimate> Estimates;
+  static Duration leadAt(const Peer &peer, TimePoint now);
+
+  std::map<VmAddress, Peer> Peers;
 };
 
 } // namespace wigeonlift
--- a/Services/Gateway/FleetTask.cpp
+++ b/Services/Gateway/FleetTask.cpp
@@ -118,7 +118,7 @@
   while (true) {
     const TimePoint now = bootTimeNow();
     Fleet.members().setReady(Owner.isReady());
-    send(Fleet.tick(now));
+    send(Fleet.members().tick(now));
     logReplicaAge(now);
     Owner.setBudgetShare(Fleet.members().budgetShare(now));
     for (const auto &[ip, state] : Fleet.members().takeLivenessChanges(now))
--- a/Tests/LibFleet/TestChangeDeadline.cpp
+++ b/Tests/LibFleet/TestChangeDeadline.cpp
@@ -71,6 +71,12 @@
   expectChangesInTime({.Vms = 3, .DataCentres = 2, .HasLinkFaults = true}, 83001, 1000);
 }
 
+// In these runs VMs knew the clock of another one only from messages that took more than a second.
+TEST(ChangeDeadline, SlowMessagesDoNotMakeReplicasYounger) {
+  expectChangesInTime({.Vms = 12, .DataCentres = 4, .HasLinkFaults = true}, 380050, 1);
+  expectChangesInTime({.Vms = 12, .DataCentres = 4, .HasLinkFaults = true}, 2880017, 1);
+}
+
 // Guards against VMs that ask the store for themselves although the reader of their data centre
 // does so for them.
 TEST(ChangeDeadline, CalmFleetsAskTheStoreRarely) {
--- a/Tests/LibFleet/TestFleet.cpp
+++ b/Tests/LibFleet/TestFleet.cpp
@@ -258,7 +258,7 @@
   FleetMessage message{.Sender = {.Ip = ip(1), .DataCentre = "a"}, .SentAtMs = UINT64_MAX};
   EXPECT_FALSE(decodeFleetMessage(encodeFleetMessage(message)));
   message.SentAtMs = 5000;
-  message.ReplicaConfirmedAt = ClockReading{.Vm = ip(1), .Incarnation = 1, .Ms = 4000};
+  message.ReplicaConfirmedAt = ClockReading{.Incarnation = 1, .Ms = 4000};
   const auto decoded = decodeFleetMessage(encodeFleetMessage(message));
   ASSERT_TRUE(decoded);
   EXPECT_EQ(decoded->ReplicaConfirmedAt, message.ReplicaConfirmedAt);
