LibFleet: Look for other VMs as soon as none is heard

A VM that was cut off and restarted meanwhile learnt of a change 5 s late (model of a trial of the clocks' conversion). When it could be reached again it had heard nobody, the others took it for dead and sent nothing, and it turned to a seed every 10 s only, as it knew of other VMs. Its only way was its own next call to the store.

A VM that has received nothing for 2 s now sends to a seed and to one of the VMs that it knew with each tick, dead or not, and asks for all states.

--- a/Libraries/LibFleet/FleetMembership.cpp
+++ b/Libraries/LibFleet/FleetMembership.cpp
@@ -30,9 +30,12 @@
 // `BudgetPeerRetention`, which must not be longer.
 constexpr Duration ForgetAfter = std::chrono::seconds{120};
 // After its start, a VM contacts a seed with each tick for this long. Afterwards it does so every
-// `SeedContactIntervalTicks`, or with each tick while it knows no other VM.
+// `SeedContactIntervalTicks`, or with each tick while it is isolated.
 constexpr Duration JoinDuration = std::chrono::seconds{5};
 constexpr std::uint64_t SeedContactIntervalTicks = 20;
+// A VM that receives nothing for this long is isolated. The others may take it for dead and send
+// nothing either when it can be reached again.
+constexpr Duration IsolatedAfter = std::chrono::seconds{2};
 // More than one candidate is notified, since the first one may itself be unreachable.
 constexpr std::size_t NextReadersNotified = 3;
 constexpr std::size_t FewLocalReceivers = 2;
@@ -41,7 +44,8 @@
 
 FleetMembership::FleetMembership(FleetVm self, std::vector<VmAddress> seeds, std::uint64_t rngSeed,
                                  TimePoint startedAt)
-    : Self(std::move(self)), Seeds(std::move(seeds)), Rng(rngSeed), StartedAt(startedAt) {
+    : Self(std::move(self)), Seeds(std::move(seeds)), Rng(rngSeed), StartedAt(startedAt),
+      ReceivedAt(startedAt) {
   std::erase(Seeds, Self.Ip);
 }
 
@@ -117,15 +121,18 @@
     addMessage(pickPeer(true, now), false, AnswerWanted::None);
   if (TickCount % RemoteGossipIntervalTicks == 0)
     addMessage(pickPeer(false, now), true, AnswerWanted::None);
-  const bool isJoining = now - StartedAt < JoinDuration;
-  if (!Seeds.empty() && (isJoining || TickCount % SeedContactIntervalTicks == 0 || Peers.empty())) {
-    const VmAddress seed = Seeds[Rng.below(Seeds.size())];
-    addMessage(seed, false, Peers.empty() || isJoining ? AnswerWanted::All : AnswerWanted::None);
-  }
+  const bool isIsolated = now - ReceivedAt > IsolatedAfter;
+  const bool wantsContact = isIsolated || now - StartedAt < JoinDuration;
+  if (!Seeds.empty() && (wantsContact || TickCount % SeedContactIntervalTicks == 0))
+    addMessage(Seeds[Rng.below(Seeds.size())], false,
+               wantsContact ? AnswerWanted::All : AnswerWanted::None);
+  if (isIsolated)
+    addMessage(pickKnownPeer(), false, AnswerWanted::All);
   return datagrams;
 }
 
 std::vector<FleetDatagram> FleetMembership::didReceive(const FleetMessage &message, TimePoint now) {
+  ReceivedAt = now;
   const VmAddress sender = message.Sender.Ip;
   const bool isNew = !Peers.contains(sender);
   merge(message.Sender, now);
@@ -269,4 +276,10 @@
   return choices[Rng.below(choices.size())];
 }
 
+std::optional<VmAddress> FleetMembership::pickKnownPeer() {
+  if (Peers.empty())
+    return std::nullopt;
+  return std::next(Peers.begin(), static_cast<std::ptrdiff_t>(Rng.below(Peers.size())))->first;
+}
+
 } // namespace wigeonlift
--- a/Libraries/LibFleet/FleetMembership.h
+++ b/Libraries/LibFleet/FleetMembership.h
@@ -144,12 +144,17 @@
   /// that regular gossip sends to other data centres. Answers and messages to seeds always have the
   /// full number.
   FleetMessage composeMessage(bool isToRemote, TimePoint now);
+  /// Returns a random VM among those that are considered alive.
   std::optional<VmAddress> pickPeer(bool isLocalWanted, TimePoint now);
+  /// Returns a random VM, whether or not it is considered alive.
+  std::optional<VmAddress> pickKnownPeer();
 
   FleetVm Self;
   std::vector<VmAddress> Seeds;
   Random Rng;
   TimePoint StartedAt;
+  /// When a message last arrived, or the start of the process.
+  TimePoint ReceivedAt;
   std::map<VmAddress, Peer> Peers;
   PeerClocks Clocks;
   /// When the store last answered a call of this VM.
--- a/Tests/LibFleet/TestFleet.cpp
+++ b/Tests/LibFleet/TestFleet.cpp
@@ -242,6 +242,22 @@
   EXPECT_FALSE(decompress("no compressed bytes", 1000));
 }
 
+// Guards against a VM that was cut off for so long that it and the others take each other for dead,
+// and that stays alone for seconds after it can be reached again. Changes reached it too late.
+TEST(FleetMembership, VmsThatWereCutOffAreBackWithinASecond) {
+  for (const bool areSeedsGone : {false, true}) {
+    Network net{8, 2};
+    net.run(std::chrono::seconds{8});
+    net.UnreachableVms = {ip(8)};
+    net.run(std::chrono::seconds{20});
+    net.UnreachableVms.clear();
+    if (areSeedsGone)
+      net.UnreachableVms = {ip(1), ip(2)};
+    net.run(std::chrono::seconds{1});
+    EXPECT_GE(net.vm(8).aliveVms(net.Now).size(), 6U);
+  }
+}
+
 // Guards against datagrams from unrelated senders that crash the process or add a member.
 TEST(FleetCodec, RejectsInvalidBytes) {
   EXPECT_FALSE(decodeFleetMessage("no message"));
