LibDiscovery: Read again sooner where the replica may lack changes

A VM without a complete copy that can reach the store again waited for the end of a read that got no answer (1 s) and for the longest retry delay (2 s): 3 s and the read, while it must know each change 3 s after it can reach the store. Such reads are now tried again after 1.5 s at most.

--- a/Libraries/LibDiscovery/StoreSyncPolicy.cpp
+++ b/Libraries/LibDiscovery/StoreSyncPolicy.cpp
@@ -22,6 +22,8 @@
 // Other VMs hear from the reader when the store answers again. Unless they are all to wait for it,
 // they have to try themselves in the time that a VM has after the store's return.
 constexpr Duration MaxRetryDelayOfOthers = std::chrono::milliseconds{2000};
+// A complete read that gets no answer takes longer than a check of the revision.
+constexpr Duration MaxRetryDelayOfReads = std::chrono::milliseconds{1500};
 constexpr int MaxBackoffDoublings = 4;
 
 } // namespace
@@ -85,9 +87,13 @@
 Duration StoreSyncPolicy::retryDelay(double jitter) const {
   const int doublings = std::min(ConsecutiveFailedReads - 1, MaxBackoffDoublings);
   const Duration backoff = InitialRetryDelay * (1 << doublings);
-  const Duration longest =
-      LastNeed == StoreSyncNeed::IsReader ? MaxRetryDelayOfReader : MaxRetryDelayOfOthers;
-  return std::min(longest, fromSeconds(toSeconds(backoff) * (0.75 + jitter / 2)));
+  return std::min(maxRetryDelay(), fromSeconds(toSeconds(backoff) * (0.75 + jitter / 2)));
+}
+
+Duration StoreSyncPolicy::maxRetryDelay() const {
+  if (LastNeed == StoreSyncNeed::IsReader)
+    return MaxRetryDelayOfReader;
+  return MustReadAll ? MaxRetryDelayOfReads : MaxRetryDelayOfOthers;
 }
 
 Duration StoreSyncPolicy::pause(double jitter, Duration maxBatchingDelay) const {
--- a/Libraries/LibDiscovery/StoreSyncPolicy.h
+++ b/Libraries/LibDiscovery/StoreSyncPolicy.h
@@ -76,6 +76,7 @@
   void didAnswer(TimePoint now);
 
   Duration retryDelay(double jitter) const;
+  Duration maxRetryDelay() const;
 
   StoreSyncNeed LastNeed = StoreSyncNeed::None;
   /// What `nextStep` returned last.
--- a/Tests/LibDiscovery/TestStoreSyncPolicy.cpp
+++ b/Tests/LibDiscovery/TestStoreSyncPolicy.cpp
@@ -12,7 +12,7 @@
 constexpr StoreRevision ReplicaRevision = 497;
 constexpr Duration MaxBatchingDelay = std::chrono::seconds{1};
 
-Duration ms(int n) { return std::chrono::milliseconds{n}; }
+constexpr Duration ms(int n) { return std::chrono::milliseconds{n}; }
 
 /// The policy of a VM that watches the store for its data centre and has read all keys.
 StoreSyncPolicy policyOfWatchingReader() {
@@ -175,4 +175,18 @@
   EXPECT_EQ(policy.pause(Jitter, MaxBatchingDelay), ms(2000));
 }
 
+// Guards against a VM without a replica that can reach the store again, but waits for the end of a
+// read that got no answer and for the longest retry delay, and so learns of a change too late.
+TEST(StoreSyncPolicy, VmsWithoutAReplicaReadAgainWithinTheSettleTime) {
+  constexpr Duration readTimeout = ms(1000);
+  constexpr Duration readTime = ms(300);
+  constexpr Duration settleTime = ms(3000);
+  StoreSyncPolicy policy;
+  for (int n = 0; n < 6; ++n) {
+    EXPECT_EQ(policy.nextStep(StoreSyncNeed::ReplicaExpired, Start), StoreSyncStep::ReadAll);
+    policy.didFail(StoreFailure::TimedOut, Start);
+    EXPECT_LE(readTimeout + policy.pause(1.0, MaxBatchingDelay) + readTime, settleTime);
+  }
+}
+
 } // namespace wigeonlift
