Tests: Let the store of the model fleet refuse some VMs

A store that refuses some machines, or answers them nothing, while others fall silent is a near relative of the incident: those VMs learn of changes from other VMs only. The bound is stretched while the store isn't stable; one VM is spared by all faults, so that the changes can always be had.

--- a/Tests/LibFleet/ModelFleet.cpp
+++ b/Tests/LibFleet/ModelFleet.cpp
@@ -206,7 +206,9 @@
 }
 
 void ModelFleet::answerCall(Vm &vm, const StoreCall &call, const CallState &state) {
-  if (isStoreDown())
+  if (vm.Refusals > 0 && vm.IsIgnoredByStore)
+    return;
+  if (isStoreDown() || vm.Refusals > 0)
     return respond(vm, state, [this, &vm] {
       return vm.Sync->didFail(StoreFailure::Unreachable, clockOf(vm));
     });
@@ -267,12 +269,19 @@
     it->Answer();
 }
 
+TimePoint ModelFleet::dueTime(const Change &change) const {
+  const TimePoint due = change.At + Options.ChangeDeadline;
+  const bool isStretched = std::ranges::any_of(
+      RefusalSpans, [&](const Span &it) { return it.Begin <= due && it.End >= change.At; });
+  return isStretched ? due + Options.RefusalStretch : due;
+}
+
 bool ModelFleet::isInTouch(const Vm &vm) const {
   return vm.isRunning() && vm.Excuses == 0 && Now >= vm.ExcusedUntil;
 }
 
 void ModelFleet::check() {
-  const auto isDue = [&](const Change &it) { return it.At + Options.ChangeDeadline <= Now; };
+  const auto isDue = [&](const Change &it) { return dueTime(it) <= Now; };
   const auto due = std::ranges::find_if(Changes.rbegin(), Changes.rend(), isDue);
   if (due == Changes.rend())
     return;
--- a/Tests/LibFleet/ModelFleet.h
+++ b/Tests/LibFleet/ModelFleet.h
@@ -18,10 +18,15 @@
   int DataCentres = 3;
   /// Time within which each VM in touch must know an acknowledged change.
   Duration ChangeDeadline = std::chrono::seconds{2};
+  /// What is added to the deadline of changes while the store refuses some VMs.
+  Duration RefusalStretch = std::chrono::seconds{5};
   /// Whether VMs lose power, freeze and are cut off.
   bool HasFaults = true;
   /// Whether links of VMs also lose or delay messages.
   bool HasLinkFaults = false;
+  /// Whether the store refuses some VMs while it serves the others. The first VM is then spared by
+  /// all faults, so that one that knows the changes can always be reached.
+  bool HasRefusals = false;
   bool HasChanges = true;
   /// How long the store refuses all calls, from the end of the calm start on.
   Duration StoreOutage{};
@@ -67,6 +72,9 @@
     /// Faults of the VM's link: the part of the messages that is lost and what all are delayed by.
     double LinkLoss = 0;
     Duration LinkDelay{};
+    /// Refusals of the store in force, and whether it answers nothing instead of an error.
+    int Refusals = 0;
+    bool IsIgnoredByStore = false;
     /// Faults in force that excuse the VM, and when the last one ended.
     int Excuses = 0;
     TimePoint ExcusedUntil{};
@@ -129,12 +137,16 @@
   void planFaults(TimePoint from);
   void planFault(TimePoint begin);
   std::vector<Vm *> pickVictims();
+  bool isSpared(const Vm &vm) const { return Options.HasRefusals && vm.Index == 0; }
   void beginExcuse(Vm &vm) { ++vm.Excuses; }
   void endExcuse(Vm &vm);
   void losePower(const std::vector<Vm *> &victims, TimePoint begin, Duration length);
   void freeze(const std::vector<Vm *> &victims, TimePoint begin, Duration length);
   void cut(const std::vector<Vm *> &victims, TimePoint begin, Duration length);
   void harmLinks(const std::vector<Vm *> &victims, TimePoint begin, Duration length);
+  void refuse(TimePoint begin, Duration length);
+  /// When each VM in touch must know a change.
+  TimePoint dueTime(const Change &change) const;
   bool isInTouch(const Vm &vm) const;
   void check();
 
@@ -152,6 +164,12 @@
   std::vector<StoreItem> StoreItems;
   StoreRevision Revision = 1;
   std::vector<Change> Changes;
+  struct Span {
+    TimePoint Begin;
+    TimePoint End;
+  };
+  /// When the store refused some VMs, with the time after which it counts as stable again.
+  std::vector<Span> RefusalSpans;
   std::vector<std::shared_ptr<OpenWatch>> Watches;
   std::vector<TimePoint> StoreCallTimes;
   std::vector<std::string> Violations;
--- a/Tests/LibFleet/ModelFleetFaults.cpp
+++ b/Tests/LibFleet/ModelFleetFaults.cpp
@@ -30,6 +30,8 @@
   at(begin, [this, begin] {
     const auto victims = pickVictims();
     const Duration length = between(ms(300), ms(6000));
+    if (Options.HasRefusals && chance(0.5))
+      return refuse(begin, length);
     const auto kind = Rng.below(Options.HasLinkFaults ? 4 : 3);
     if (kind == 0)
       losePower(victims, begin, length);
@@ -48,7 +50,7 @@
   const bool allDataCentres = chance(0.5);
   std::vector<Vm *> victims;
   for (const auto &it : Vms) {
-    if (!it->isRunning() || it->Freezes > 0)
+    if (!it->isRunning() || it->Freezes > 0 || isSpared(*it))
       continue;
     const bool isReader = it->Fleet->members().isReader(clockOf(*it));
     const bool isReaderVictim = wantsReaders && isReader && (allDataCentres || victims.empty());
@@ -92,21 +94,37 @@
   std::array<bool, 4> directions{};
   for (bool &it : directions)
     it = chance(0.6);
-  const bool isCutFromStore = directions[ToStore] || directions[FromStore];
+  // A VM that the store refuses learns of changes from other VMs only.
+  const bool isExcused = directions[ToStore] || directions[FromStore] || Options.HasRefusals;
   for (Vm *vm : victims) {
-    if (isCutFromStore)
+    if (isExcused)
       beginExcuse(*vm);
     for (std::size_t n = 0; n < directions.size(); ++n)
       vm->Cuts[n] += directions[n] ? 1 : 0;
-    at(begin + length, [this, vm, directions, isCutFromStore] {
+    at(begin + length, [this, vm, directions, isExcused] {
       for (std::size_t n = 0; n < directions.size(); ++n)
         vm->Cuts[n] -= directions[n] ? 1 : 0;
-      if (isCutFromStore)
+      if (isExcused)
         endExcuse(*vm);
     });
   }
 }
 
+void ModelFleet::refuse(TimePoint begin, Duration length) {
+  const double share = 0.2 + 0.5 * Rng.unit();
+  const bool answersNothing = chance(0.5);
+  RefusalSpans.push_back({.Begin = begin, .End = begin + length + SettleTime});
+  for (const auto &it : Vms) {
+    const bool isReader = it->isRunning() && it->Fleet->members().isReader(clockOf(*it));
+    if (isSpared(*it) || (!isReader && !chance(share)))
+      continue;
+    Vm *vm = it.get();
+    ++vm->Refusals;
+    vm->IsIgnoredByStore = answersNothing;
+    at(begin + length, [vm] { --vm->Refusals; });
+  }
+}
+
 void ModelFleet::harmLinks(const std::vector<Vm *> &victims, TimePoint begin, Duration length) {
   const double loss = chance(0.5) ? MaxLinkLoss * Rng.unit() : 0;
   const Duration delay = loss == 0 || chance(0.3) ? between(ms(20), MaxLinkDelay) : Duration{};
--- a/Tests/LibFleet/TestChangeDeadline.cpp
+++ b/Tests/LibFleet/TestChangeDeadline.cpp
@@ -77,6 +77,12 @@
   expectChangesInTime({.Vms = 12, .DataCentres = 4, .HasLinkFaults = true}, 2880017, 1);
 }
 
+// Guards against VMs that the store refuses and that no other VM tells of changes.
+TEST(ChangeDeadline, RefusedVmsKnowChangesInTime) {
+  expectChangesInTime({.Vms = 12, .DataCentres = 4, .HasRefusals = true}, 90001, 500);
+  expectChangesInTime({.Vms = 16, .DataCentres = 3, .HasRefusals = true}, 91001, 500);
+}
+
 // Guards against VMs that ask the store for themselves although the reader of their data centre
 // does so for them.
 TEST(ChangeDeadline, CalmFleetsAskTheStoreRarely) {
