LibFleet: Read changes from the next VM before the first one fails

Callers would have no configuration, or an old one, for seconds: a VM that knew that it was behind asked one VM at a time, of its own data centre first, waited 1.2 s for each answer, and might ask the same one again.

PeerReads decides from whom to read: a VM that lacks changes asks another VM after 300 ms, three at most at a time, and one that failed within 3 s only if there is no other. FleetTask and the model had the loop twice; both use it now.

--- a/Libraries/LibFleet/FleetMembership.h
+++ b/Libraries/LibFleet/FleetMembership.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -101,8 +102,11 @@
   /// is able to.
   std::optional<OtherReader> otherReader(TimePoint now) const;
   StoreOutage storeOutage(TimePoint now) const;
+  /// Whether the replica of some VM is ahead of this VM's.
+  bool isBehind(TimePoint now) const;
   /// A random VM whose replica is ahead of a revision, preferably in the same data centre.
-  std::optional<VmAddress> findPeerAhead(StoreRevision revision, TimePoint now);
+  std::optional<VmAddress> findPeerAhead(StoreRevision revision, const std::set<VmAddress> &avoided,
+                                         TimePoint now);
   /// The fraction of the fleet's budgets, such as those for probes and repeated requests, that this
   /// VM may use, in proportion to its weight. VMs that are no longer heard of keep their shares for
   /// a while, since they may be running but unreachable.
--- a/Libraries/LibFleet/FleetMembershipRoles.cpp
+++ b/Libraries/LibFleet/FleetMembershipRoles.cpp
@@ -88,16 +88,24 @@
                                                        : StoreOutage::Possible;
 }
 
-std::optional<VmAddress> FleetMembership::findPeerAhead(StoreRevision revision, TimePoint now) {
-  std::vector<const Peer *> local;
-  std::vector<const Peer *> remote;
+bool FleetMembership::isBehind(TimePoint now) const {
+  return std::ranges::any_of(Peers, [&](const auto &it) {
+    return it.second.Vm.Revision > Self.Revision && isAlive(it.second, now);
+  });
+}
+
+std::optional<VmAddress> FleetMembership::findPeerAhead(StoreRevision revision,
+                                                        const std::set<VmAddress> &avoided,
+                                                        TimePoint now) {
+  std::vector<VmAddress> local;
+  std::vector<VmAddress> remote;
   for (const auto &[ip, peer] : Peers)
-    if (isAlive(peer, now) && peer.Vm.Revision > revision)
-      (isInOwnDataCentre(peer.Vm) ? local : remote).push_back(&peer);
-  const auto &peers = local.empty() ? remote : local;
-  if (peers.empty())
+    if (isAlive(peer, now) && peer.Vm.Revision > revision && !avoided.contains(ip))
+      (isInOwnDataCentre(peer.Vm) ? local : remote).push_back(ip);
+  const auto &vms = local.empty() ? remote : local;
+  if (vms.empty())
     return std::nullopt;
-  return peers[Rng.below(peers.size())]->Vm.Ip;
+  return vms[Rng.below(vms.size())];
 }
 
 double FleetMembership::budgetShare(TimePoint now) const {
--- a/Libraries/LibFleet/LibFleet.h
+++ b/Libraries/LibFleet/LibFleet.h
@@ -6,5 +6,6 @@
 #include <LibFleet/FleetMessage.h>
 #include <LibFleet/FleetReplica.h>
 #include <LibFleet/PeerClocks.h>
+#include <LibFleet/PeerReads.h>
 #include <LibFleet/StoreSync.h>
 #include <LibFleet/VmAddress.h>
--- a/Services/Gateway/FleetTask.cpp
+++ b/Services/Gateway/FleetTask.cpp
@@ -29,7 +29,6 @@
 constexpr std::size_t MaxReplicaBytes = 16 * 1024 * 1024;
 // A change that was announced usually arrives by itself.
 constexpr Duration PullDelay = std::chrono::milliseconds{80};
-constexpr Duration PullRetry = std::chrono::milliseconds{200};
 constexpr std::size_t MaxCallerAddresses = 64;
 constexpr double WeightPerCore = 1000;
 // A link of so many Mbit/s carries the downloads of a whole core.
@@ -167,41 +166,50 @@
 void FleetTask::handle(const FleetMessage &message) {
   const TimePoint now = bootTimeNow();
   publish(Fleet.didReceive(message, now), "peer");
-  if (!IsPulling && Fleet.members().findPeerAhead(Fleet.revision(), now)) {
-    IsPulling = true;
-    asio::co_spawn(Owner.context(), pull(),
-                   [this](const std::exception_ptr &) { IsPulling = false; });
+  if (!IsCatchingUp && Fleet.members().isBehind(now)) {
+    IsCatchingUp = true;
+    asio::co_spawn(Owner.context(), catchUp(),
+                   [this](const std::exception_ptr &) { IsCatchingUp = false; });
   }
 }
 
-asio::awaitable<void> FleetTask::pull() {
+asio::awaitable<void> FleetTask::catchUp() {
   asio::steady_timer timer{Owner.context()};
   Duration wait = Fleet.replica().isEmpty() ? Duration::zero() : PullDelay;
   while (true) {
     timer.expires_after(wait);
     co_await timer.async_wait(Completion);
-    const auto from = Fleet.members().findPeerAhead(Fleet.revision(), bootTimeNow());
-    if (!from)
+    const TimePoint now = bootTimeNow();
+    if (!Fleet.members().isBehind(now))
       break;
-    ++Pulls;
-    const auto endpoint = *parseEndpoint(toText(*from, Owner.settings().FirstInternalPort));
-    const StoreRevision after = Fleet.revision();
-    const std::string target = fmt::format("{}{}", ReplicaTarget, after);
-    const auto response =
-        co_await fetch(endpoint, HttpRequest{http::verb::get, target, 11}, PullTimeout);
-    const auto bytes = response.ok() && response->result() == http::status::ok
-                           ? decompress(response->body(), MaxReplicaBytes)
-                           : std::nullopt;
-    const auto delta = bytes ? decodeStoreDelta(*bytes) : std::nullopt;
-    if (delta)
-      publish(Fleet.didReadPeer(*delta, after, *from, bootTimeNow()), "peer");
-    else
-      Owner.eventLog().write(EventLog::Priority::Routine, "pull_failed",
-                             {{"vm", toText(*from, CallersPort)}});
-    wait = PullRetry;
+    if (const auto from = Reads.next(Fleet.members(), Fleet.revision(), now))
+      asio::co_spawn(Owner.context(), pull(*from),
+                     [this, vm = *from](const std::exception_ptr &failure, bool hasSucceeded) {
+                       Reads.didEnd(vm, !failure && hasSucceeded, bootTimeNow());
+                     });
+    wait = PeerReads::Interval;
   }
 }
 
+asio::awaitable<bool> FleetTask::pull(VmAddress from) {
+  ++Pulls;
+  const auto endpoint = *parseEndpoint(toText(from, Owner.settings().FirstInternalPort));
+  const StoreRevision after = Fleet.revision();
+  const std::string target = fmt::format("{}{}", ReplicaTarget, after);
+  const auto response =
+      co_await fetch(endpoint, HttpRequest{http::verb::get, target, 11}, PullTimeout);
+  const auto bytes = response.ok() && response->result() == http::status::ok
+                         ? decompress(response->body(), MaxReplicaBytes)
+                         : std::nullopt;
+  const auto delta = bytes ? decodeStoreDelta(*bytes) : std::nullopt;
+  if (delta)
+    publish(Fleet.didReadPeer(*delta, after, from, bootTimeNow()), "peer");
+  else
+    Owner.eventLog().write(EventLog::Priority::Routine, "pull_failed",
+                           {{"vm", toText(from, CallersPort)}});
+  co_return delta.has_value();
+}
+
 const std::string &FleetTask::changesSince(StoreRevision after) {
   if (AnswerBody.empty() || AnswerAfter != after || AnswerAsOf != Fleet.revision()) {
     AnswerBody = compress(encodeStoreDelta(Fleet.replica().changesSince(after), after));
--- a/Services/Gateway/FleetTask.h
+++ b/Services/Gateway/FleetTask.h
@@ -46,7 +46,10 @@
   boost::asio::awaitable<void> receive();
   boost::asio::awaitable<HttpResponse> answer(HttpRequest request);
   const std::string &changesSince(StoreRevision after);
-  boost::asio::awaitable<void> pull();
+  /// Reads from other VMs as long as some are ahead of this one.
+  boost::asio::awaitable<void> catchUp();
+  /// Returns whether the VM answered.
+  boost::asio::awaitable<bool> pull(VmAddress from);
   void handle(const FleetMessage &message);
   /// Logs when the replica has become older than its limit, and when it is current again.
   void logReplicaAge(TimePoint now);
@@ -62,7 +65,8 @@
   std::string AnswerBody;
   StoreRevision AnswerAfter = 0;
   StoreRevision AnswerAsOf = 0;
-  bool IsPulling = false;
+  PeerReads Reads;
+  bool IsCatchingUp = false;
   std::uint64_t BytesSent = 0;
   std::uint64_t Pulls = 0;
   bool WasReplicaOld = false;
--- a/Tests/LibFleet/ModelFleet.cpp
+++ b/Tests/LibFleet/ModelFleet.cpp
@@ -14,7 +14,6 @@
 constexpr TimePoint End = Begin + std::chrono::seconds{26};
 constexpr Duration CheckInterval = ms(20);
 constexpr Duration PullDelay = ms(80);
-constexpr Duration PullRetry = ms(200);
 constexpr Duration PullTimeout = ms(1200);
 constexpr Duration MaxTimerDelay = ms(20);
 constexpr Duration StoreAnswerTime = ms(4);
@@ -93,7 +92,8 @@
       self, std::vector<VmAddress>{FirstAddress, FirstAddress + 1, FirstAddress + 2},
       FreshnessLimits::forChangeDeadline(Options.ChangeDeadline), seed, clockOf(vm));
   vm.Sync = std::make_unique<StoreSync>(*vm.Fleet, seed);
-  vm.IsPulling = false;
+  vm.Reads = {};
+  vm.IsCatchingUp = false;
   vm.Deferred.clear();
   vm.Fleet->members().setReady(true);
   tick(vm);
@@ -140,39 +140,41 @@
 
 void ModelFleet::receive(Vm &vm, const FleetMessage &message) {
   send(vm, vm.Fleet->didReceive(message, clockOf(vm)).Datagrams);
-  if (vm.IsPulling || !vm.Fleet->members().findPeerAhead(vm.Fleet->revision(), clockOf(vm)))
+  if (vm.IsCatchingUp || !vm.Fleet->members().isBehind(clockOf(vm)))
     return;
-  vm.IsPulling = true;
-  inVm(vm, vm.Fleet->revision() == 0 ? Duration::zero() : PullDelay, [this, &vm] { pull(vm); });
+  vm.IsCatchingUp = true;
+  inVm(vm, vm.Fleet->revision() == 0 ? Duration::zero() : PullDelay, [this, &vm] { catchUp(vm); });
 }
 
-void ModelFleet::pull(Vm &vm) {
-  const auto peer = vm.Fleet->members().findPeerAhead(vm.Fleet->revision(), clockOf(vm));
-  if (!peer) {
-    vm.IsPulling = false;
+void ModelFleet::catchUp(Vm &vm) {
+  vm.IsCatchingUp = vm.Fleet->members().isBehind(clockOf(vm));
+  if (!vm.IsCatchingUp)
     return;
-  }
-  Vm &source = vmAt(*peer);
-  const StoreRevision after = vm.Fleet->revision();
+  if (const auto from = vm.Reads.next(vm.Fleet->members(), vm.Fleet->revision(), clockOf(vm)))
+    pull(vm, *from);
+  inVm(vm, PeerReads::Interval, [this, &vm] { catchUp(vm); });
+}
+
+void ModelFleet::pull(Vm &vm, VmAddress from) {
+  const auto fail = [this, &vm, from] {
+    inVm(vm, PullTimeout, [this, &vm, from] { vm.Reads.didEnd(from, false, clockOf(vm)); });
+  };
+  Vm &source = vmAt(from);
   const auto isOpen = [](const Vm &a, const Vm &b) {
     return a.Cuts[ToVms] == 0 && b.Cuts[FromVms] == 0;
   };
   if (!source.isRunning() || source.Freezes > 0 || !isOpen(vm, source) || !isOpen(source, vm))
-    return inVm(vm, PullTimeout, [this, &vm] { endPull(vm, std::nullopt, {}, 0); });
-  const StoreDelta delta = source.Fleet->replica().changesSince(after);
+    return fail();
   const Duration onLinks =
       delayOnLink(vm) + delayOnLink(source) + delayOnLink(source) + delayOnLink(vm);
   if (onLinks > PullTimeout)
-    return inVm(vm, PullTimeout, [this, &vm] { endPull(vm, std::nullopt, {}, 0); });
-  inVm(vm, between(ms(2), ms(10)) + onLinks,
-       [this, &vm, peer, delta, after] { endPull(vm, peer, delta, after); });
-}
-
-void ModelFleet::endPull(Vm &vm, std::optional<VmAddress> peer, const StoreDelta &delta,
-                         StoreRevision after) {
-  if (peer)
-    send(vm, vm.Fleet->didReadPeer(delta, after, *peer, clockOf(vm)).Datagrams);
-  inVm(vm, PullRetry, [this, &vm] { pull(vm); });
+    return fail();
+  const StoreRevision after = vm.Fleet->revision();
+  const StoreDelta delta = source.Fleet->replica().changesSince(after);
+  inVm(vm, between(ms(2), ms(10)) + onLinks, [this, &vm, from, delta, after] {
+    vm.Reads.didEnd(from, true, clockOf(vm));
+    send(vm, vm.Fleet->didReadPeer(delta, after, from, clockOf(vm)).Datagrams);
+  });
 }
 
 void ModelFleet::syncWithStore(Vm &vm) {
--- a/Tests/LibFleet/ModelFleet.h
+++ b/Tests/LibFleet/ModelFleet.h
@@ -63,7 +63,8 @@
     Duration ClockOffset{};
     std::unique_ptr<FleetReplica> Fleet;
     std::unique_ptr<StoreSync> Sync;
-    bool IsPulling = false;
+    PeerReads Reads;
+    bool IsCatchingUp = false;
     int Freezes = 0;
     /// What the process does when it wakes, in order.
     std::deque<std::function<void()>> Deferred;
@@ -122,8 +123,8 @@
   void tick(Vm &vm);
   void send(Vm &from, const std::vector<FleetDatagram> &datagrams);
   void receive(Vm &vm, const FleetMessage &message);
-  void pull(Vm &vm);
-  void endPull(Vm &vm, std::optional<VmAddress> peer, const StoreDelta &delta, StoreRevision after);
+  void catchUp(Vm &vm);
+  void pull(Vm &vm, VmAddress from);
 
   void syncWithStore(Vm &vm);
   void callStore(Vm &vm, const StoreCall &call);
