LibFleet: Judge outages of the store by times on the receiver's clock

Upstreams whose entries are removed while no VM reaches the store stay in use for 2.2 s, since their leases may just have expired. That no VM reaches it was assumed when the last contact was 1.5 s old, but a healthy reader whose watch is idle has its last answer 0.6 D ago, 1.2 to 2 s, and its neighbours hear of it later. If one VM of each data centre is disconnected, requests go to upstreams that have left for longer than the drain timeout. Besides, VMs passed that age on without adding to it.

The time at which the store last answered a VM, except one that has just come back to it, now spreads like the time of confirmations. No VM reaches the store if no such time is less than D old, which is more than any VM in touch ever waits for one.

--- a/Libraries/LibDiscovery/ReplicaFreshness.h
+++ b/Libraries/LibDiscovery/ReplicaFreshness.h
@@ -15,6 +15,8 @@
   /// The range of the age limits of the VMs.
   Duration MinAgeLimit{};
   Duration MaxAgeLimit{};
+  /// A VM that has heard of no answer of the store for this long can assume that no VM reaches it.
+  Duration MaxStoreSilence{};
 
   /// Derives the limits from the time within which each VM must know an acknowledged change. What
   /// MaxAgeLimit leaves of it is for the call to the store that follows.
@@ -22,7 +24,8 @@
     const Duration span = std::min(deadline, MaxDeadline);
     return {.ConfirmInterval = span * 6 / 10,
             .MinAgeLimit = span * 7 / 10,
-            .MaxAgeLimit = span * 8 / 10};
+            .MaxAgeLimit = span * 8 / 10,
+            .MaxStoreSilence = span};
   }
 
 private:
--- a/Libraries/LibFleet/FleetCodec.cpp
+++ b/Libraries/LibFleet/FleetCodec.cpp
@@ -20,7 +20,6 @@
                 (vm.IsStoreDisconnected ? StoreDisconnectedFlag : 0U));
   out.set_weight(vm.Weight);
   out.set_revision(vm.Revision);
-  out.set_contact_age_ms(vm.StoreContactAgeMs);
 }
 
 FleetVm decode(const fleetwire::Vm &in) {
@@ -31,7 +30,6 @@
           .IsReady = (in.flags() & ReadyFlag) != 0,
           .IsStopping = (in.flags() & StoppingFlag) != 0,
           .IsStoreDisconnected = (in.flags() & StoreDisconnectedFlag) != 0,
-          .StoreContactAgeMs = in.contact_age_ms(),
           .Weight = in.weight(),
           .Revision = in.revision()};
 }
@@ -41,8 +39,14 @@
                                                                  : AnswerWanted::None;
 }
 
+std::optional<ClockReading> decode(const fleetwire::ReceiverTimes &in, std::uint64_t ms) {
+  return ms == 0 ? std::nullopt
+                 : std::optional{ClockReading{.Incarnation = in.incarnation(), .Ms = ms}};
+}
+
 bool isPossible(const fleetwire::Message &in) {
-  return in.sent_at_ms() <= MaxClockMs && in.replica_confirmed_at().ms() <= MaxClockMs;
+  return in.sent_at_ms() <= MaxClockMs && in.times().replica_confirmed_at_ms() <= MaxClockMs &&
+         in.times().store_reached_at_ms() <= MaxClockMs;
 }
 
 void encode(const StoreDelta &delta, StoreRevision deltaAfter, fleetwire::Delta &out) {
@@ -82,8 +86,12 @@
   out.set_wanted(static_cast<std::uint32_t>(message.Wanted));
   out.set_sent_at_ms(message.SentAtMs);
   if (const auto &reading = message.ReplicaConfirmedAt) {
-    out.mutable_replica_confirmed_at()->set_incarnation(reading->Incarnation);
-    out.mutable_replica_confirmed_at()->set_ms(reading->Ms);
+    out.mutable_times()->set_incarnation(reading->Incarnation);
+    out.mutable_times()->set_replica_confirmed_at_ms(reading->Ms);
+  }
+  if (const auto &reading = message.StoreReachedAt) {
+    out.mutable_times()->set_incarnation(reading->Incarnation);
+    out.mutable_times()->set_store_reached_at_ms(reading->Ms);
   }
   if (message.Delta)
     encode(*message.Delta, message.DeltaAfter, *out.mutable_delta());
@@ -97,16 +105,15 @@
   FleetMessage message{.Sender = decode(in.sender()),
                        .SentAtMs = in.sent_at_ms(),
                        .ReplicaConfirmedAt = {},
+                       .StoreReachedAt = {},
                        .Others = {},
                        .Wanted = decodeWanted(in.wanted()),
                        .Delta = {},
                        .DeltaAfter = in.delta().after()};
   for (const auto &it : in.others())
     message.Others.push_back(decode(it));
-  if (in.has_replica_confirmed_at())
-    message.ReplicaConfirmedAt =
-        ClockReading{.Incarnation = in.replica_confirmed_at().incarnation(),
-                     .Ms = in.replica_confirmed_at().ms()};
+  message.ReplicaConfirmedAt = decode(in.times(), in.times().replica_confirmed_at_ms());
+  message.StoreReachedAt = decode(in.times(), in.times().store_reached_at_ms());
   if (in.has_delta())
     message.Delta = decode(in.delta());
   return message;
--- a/Libraries/LibFleet/FleetMembership.cpp
+++ b/Libraries/LibFleet/FleetMembership.cpp
@@ -82,22 +82,16 @@
   return datagrams;
 }
 
-FleetVm FleetMembership::selfAt(TimePoint now) const {
-  constexpr Duration maxAge = std::chrono::hours{1};
-  FleetVm vm = Self;
-  vm.StoreContactAgeMs =
-      static_cast<std::uint32_t>(toMilliseconds(std::min(maxAge, now - StoreContactAt)));
-  return vm;
-}
-
 FleetMessage FleetMembership::messageWithSelf(TimePoint now) const {
-  return {.Sender = selfAt(now),
+  return {.Sender = Self,
           .SentAtMs = static_cast<std::uint64_t>(toMilliseconds(now.time_since_epoch()))};
 }
 
 FleetDatagram FleetMembership::addressTo(VmAddress to, FleetMessage message, TimePoint now) const {
   if (ReplicaConfirmedAt)
     message.ReplicaConfirmedAt = Clocks.toClockOf(to, *ReplicaConfirmedAt, now);
+  if (StoreReachedAt)
+    message.StoreReachedAt = Clocks.toClockOf(to, *StoreReachedAt, now);
   return {.To = to, .Message = std::move(message)};
 }
 
@@ -140,6 +134,8 @@
     merge(it, now);
   if (sender == Self.Ip)
     return {};
+  if (const auto reachedAt = toOwnTime(message.StoreReachedAt, now))
+    didReachStore(*reachedAt);
   if (message.SentAtMs > 0)
     Clocks.didReceive(sender, {.Incarnation = message.Sender.Incarnation, .Ms = message.SentAtMs},
                       now);
@@ -150,6 +146,13 @@
   return {};
 }
 
+std::optional<TimePoint> FleetMembership::toOwnTime(const std::optional<ClockReading> &reading,
+                                                    TimePoint now) const {
+  if (!reading || reading->Incarnation != Self.Incarnation)
+    return std::nullopt;
+  return std::min(now, TimePoint{std::chrono::milliseconds{reading->Ms}});
+}
+
 std::vector<FleetDatagram> FleetMembership::propagate(const StoreDelta &delta,
                                                       StoreRevision deltaAfter,
                                                       PropagationScope scope, TimePoint now) {
--- a/Libraries/LibFleet/FleetMembership.h
+++ b/Libraries/LibFleet/FleetMembership.h
@@ -2,6 +2,7 @@
 
 #include <LibFleet/FleetMessage.h>
 
+#include <algorithm>
 #include <cstddef>
 #include <map>
 #include <optional>
@@ -22,8 +23,8 @@
 enum class StoreOutage : std::uint8_t {
   None,
   Possible, ///< Some VMs don't reach the store; others may reach it.
-  Certain,  ///< Each data centre has a VM that doesn't reach the store, and no VM reached it
-            ///< recently.
+  Certain,  ///< Each data centre has a VM that doesn't reach the store, and no VM has reached it
+            ///< for as long as such news takes.
 };
 
 /// Another VM that watches the store for this one.
@@ -69,8 +70,10 @@
   /// Sets whether this VM's calls to the store fail. If they have just begun to fail, returns
   /// messages that notify the next reader candidates directly, since gossip would take too long.
   std::vector<FleetDatagram> setStoreDisconnected(bool isDisconnected, TimePoint now);
-  /// The store answered a call of this VM.
-  void didReachStore(TimePoint now) { StoreContactAt = now; }
+  /// The store answered a call of some VM at that time.
+  void didReachStore(TimePoint time) {
+    StoreReachedAt = std::max(time, StoreReachedAt.value_or(time));
+  }
   /// Marks this VM as stopping. Returns messages that directly notify all VMs that are considered
   /// alive.
   std::vector<FleetDatagram> stop(TimePoint now);
@@ -90,6 +93,9 @@
   FleetDatagram ask(VmAddress vm, TimePoint now) const;
   /// Returns a message that asks the reader of this data centre, unless this VM is the reader.
   std::optional<FleetDatagram> askReader(TimePoint now) const;
+  /// A time on this VM's clock that was received. Empty if it is for an earlier process.
+  std::optional<TimePoint> toOwnTime(const std::optional<ClockReading> &reading,
+                                     TimePoint now) const;
   /// Returns false for unknown VMs.
   bool isInOwnDataCentre(VmAddress vm) const;
 
@@ -101,7 +107,8 @@
   /// The VM that watches the store for this data centre. Empty if this VM does so itself or no VM
   /// is able to.
   std::optional<OtherReader> otherReader(TimePoint now) const;
-  StoreOutage storeOutage(TimePoint now) const;
+  /// `maxSilence` is the time within which this VM hears of any VM that reaches the store.
+  StoreOutage storeOutage(Duration maxSilence, TimePoint now) const;
   /// Whether the replica of some VM is ahead of this VM's.
   bool isBehind(TimePoint now) const;
   /// A random VM whose replica is ahead of a revision, preferably in the same data centre.
@@ -130,8 +137,6 @@
 
   bool isAlive(const Peer &peer, TimePoint now) const;
   bool isInOwnDataCentre(const FleetVm &vm) const { return vm.DataCentre == Self.DataCentre; }
-  /// The state of this VM with its ages as of now.
-  FleetVm selfAt(TimePoint now) const;
   void merge(const FleetVm &vm, TimePoint now);
   /// Returns a message with the state of this VM only.
   FleetMessage messageWithSelf(TimePoint now) const;
@@ -161,8 +166,8 @@
   TimePoint ReceivedAt;
   std::map<VmAddress, Peer> Peers;
   PeerClocks Clocks;
-  /// When the store last answered a call of this VM.
-  TimePoint StoreContactAt{};
+  /// When the store last answered a call, as far as known.
+  std::optional<TimePoint> StoreReachedAt;
   std::optional<TimePoint> ReplicaConfirmedAt;
   std::uint64_t TickCount = 0;
   /// Number of other VMs of the own data centre at the last tick, including those that are
--- a/Libraries/LibFleet/FleetMembershipRoles.cpp
+++ b/Libraries/LibFleet/FleetMembershipRoles.cpp
@@ -15,9 +15,6 @@
 constexpr double AssumedFleetSize = 12;
 constexpr Duration AssumedSizeDuration = std::chrono::seconds{3};
 constexpr std::size_t ReadersPerDataCentre = 1;
-// A VM that got an answer from the store within this time is considered to reach it, unless it
-// counts as disconnected.
-constexpr Duration MaxRecentContactAge = std::chrono::milliseconds{1500};
 
 std::uint64_t hashAddress(std::uint64_t address) {
   address ^= address >> 33;
@@ -69,23 +66,18 @@
   return OtherReader{.Ip = ip, .SilentFor = now - Peers.at(ip).HeardAt};
 }
 
-StoreOutage FleetMembership::storeOutage(TimePoint now) const {
-  std::map<std::string, bool> hasDisconnectedVm{{Self.DataCentre, Self.IsStoreDisconnected}};
-  bool hasRecentContact = !Self.IsStoreDisconnected && now - StoreContactAt < MaxRecentContactAge;
-  for (const auto &[ip, peer] : Peers) {
-    if (!isAlive(peer, now))
-      continue;
-    hasDisconnectedVm[peer.Vm.DataCentre] |= peer.Vm.IsStoreDisconnected;
-    const Duration age = now - peer.HeardAt + std::chrono::milliseconds{peer.Vm.StoreContactAgeMs};
-    hasRecentContact |= !peer.Vm.IsStoreDisconnected && age < MaxRecentContactAge;
-  }
+StoreOutage FleetMembership::storeOutage(Duration maxSilence, TimePoint now) const {
+  std::map<std::string_view, bool> hasDisconnectedVm{{Self.DataCentre, Self.IsStoreDisconnected}};
+  for (const auto &[ip, peer] : Peers)
+    if (isAlive(peer, now))
+      hasDisconnectedVm[peer.Vm.DataCentre] |= peer.Vm.IsStoreDisconnected;
   const auto count =
       std::ranges::count_if(hasDisconnectedVm, [](const auto &it) { return it.second; });
   if (count == 0)
     return StoreOutage::None;
   const bool isDisconnectedEverywhere = count == std::ssize(hasDisconnectedVm);
-  return isDisconnectedEverywhere && !hasRecentContact ? StoreOutage::Certain
-                                                       : StoreOutage::Possible;
+  const bool wasReached = StoreReachedAt && now - *StoreReachedAt < maxSilence;
+  return isDisconnectedEverywhere && !wasReached ? StoreOutage::Certain : StoreOutage::Possible;
 }
 
 bool FleetMembership::isBehind(TimePoint now) const {
--- a/Libraries/LibFleet/FleetMessage.h
+++ b/Libraries/LibFleet/FleetMessage.h
@@ -24,9 +24,6 @@
   bool IsStopping = false;
   /// Whether the VM's calls to the store fail, or failed a short time ago.
   bool IsStoreDisconnected = false;
-  /// Time since the store last answered a call of this VM, as of the VM's last tick or the later
-  /// moment in which its calls began to fail. It also increases while the VM makes no calls.
-  std::uint32_t StoreContactAgeMs = UINT32_MAX;
   /// Capacity for callers, relative to the weights of other VMs.
   std::uint32_t Weight = 1;
   /// Revision of the VM's replica of the store.
@@ -50,6 +47,9 @@
   /// The sender's replica has all changes that the store had acknowledged by then, on the
   /// receiver's clock. Empty if that isn't known, or not how the receiver's clock runs.
   std::optional<ClockReading> ReplicaConfirmedAt{};
+  /// The store answered a call of some VM at this time, on the receiver's clock. Empty if no such
+  /// answer is known, or not how the receiver's clock runs.
+  std::optional<ClockReading> StoreReachedAt{};
   /// States of VMs other than the sender.
   std::vector<FleetVm> Others{};
   AnswerWanted Wanted = AnswerWanted::None;
--- a/Libraries/LibFleet/FleetReplica.cpp
+++ b/Libraries/LibFleet/FleetReplica.cpp
@@ -28,9 +28,8 @@
                                           ReplicaUpdate &update) {
   if (message.Sender.Revision > Replica.revision())
     return;
-  const auto &confirmedAt = message.ReplicaConfirmedAt;
-  if (confirmedAt && confirmedAt->Incarnation == Members.self().Incarnation)
-    return didConfirm(std::min(TimePoint{std::chrono::milliseconds{confirmedAt->Ms}}, now));
+  if (const auto confirmedAt = Members.toOwnTime(message.ReplicaConfirmedAt, now))
+    return didConfirm(*confirmedAt);
   // The sender may not know this VM's clock yet. The question shows it.
   if (now < Freshness.questionDue() || now - AskedAt < MinQuestionInterval)
     return;
@@ -54,7 +53,6 @@
 
 ReplicaUpdate FleetReplica::didReadStore(const StoreDelta &delta, StoreRevision after,
                                          TimePoint confirmedAt, TimePoint now) {
-  Members.didReachStore(now);
   ReplicaUpdate update{.ChangesFrom = Freshness.currentAt()};
   // The messages that pass the changes on contain the new age.
   didConfirm(confirmedAt);
@@ -78,7 +76,7 @@
                          TimePoint now, ReplicaUpdate &update) {
   const StoreRevision before = Replica.revision();
   update.Changes = Replica.apply(delta, now);
-  update.Outage = Members.storeOutage(now);
+  update.Outage = Members.storeOutage(Freshness.limits().MaxStoreSilence, now);
   Members.setRevision(Replica.revision());
   if (Replica.revision() == before)
     return;
--- a/Libraries/LibFleet/StoreSync.cpp
+++ b/Libraries/LibFleet/StoreSync.cpp
@@ -69,9 +69,15 @@
   return std::clamp(end - now, Duration::zero(), pause);
 }
 
+void StoreSync::didAnswer(TimePoint now) {
+  // After an outage, entries whose leases have expired aren't back at once.
+  if (!Policy.isDisconnected())
+    Fleet.members().didReachStore(now);
+}
+
 ReplicaUpdate StoreSync::didCheck(StoreRevision storeRevision, TimePoint now) {
   Policy.didCheck(storeRevision, Fleet.revision(), now);
-  Fleet.members().didReachStore(now);
+  didAnswer(now);
   ReplicaUpdate update;
   if (storeRevision <= Fleet.revision())
     Fleet.didConfirm(CalledAt);
@@ -81,11 +87,13 @@
 
 ReplicaUpdate StoreSync::didReadAll(const StoreDelta &delta, TimePoint now) {
   Policy.didReadAll(now);
+  didAnswer(now);
   return didRead(delta, CalledAt, now);
 }
 
 ReplicaUpdate StoreSync::didWatch(const StoreDelta &delta, TimePoint now) {
   Policy.didWatch(now);
+  didAnswer(now);
   const TimePoint waitEnd = CalledAt + LastCall.Wait;
   WasWatchIdle = delta.Items.empty() && now >= waitEnd;
   // An answer may be delayed on its way. One without changes was sent at the end of the wait, one
--- a/Libraries/LibFleet/StoreSync.h
+++ b/Libraries/LibFleet/StoreSync.h
@@ -44,6 +44,7 @@
   /// time.
   Duration watchWait(TimePoint now) const;
   ReplicaUpdate didRead(const StoreDelta &delta, TimePoint confirmedAt, TimePoint now);
+  void didAnswer(TimePoint now);
   /// Adds the messages that follow from a call that succeeded.
   void finishCall(ReplicaUpdate &update, TimePoint now);
   /// Returns messages that tell other VMs when this VM's calls have just begun to fail.
--- a/Services/Gateway/FleetTask.cpp
+++ b/Services/Gateway/FleetTask.cpp
@@ -41,7 +41,6 @@
           .DataCentre = settings.DataCentre,
           .Incarnation = static_cast<std::uint64_t>(
               std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count()),
-          .StoreContactAgeMs = UINT32_MAX,
           .Weight = std::max(1U, static_cast<std::uint32_t>(WeightPerCore * share))};
 }
 
