LibFleet: Seek news of changes while the replica is too old

A VM whose replica is older than its limit now sends to another data centre with each tick and asks for answers, which contain the changes that it lacks. Seeds are contacted in turn, all of them while a VM knows nobody. Reads prefer VMs that were heard a moment ago.

A fleet that the store answers does nothing of this.

--- a/Libraries/LibFleet/FleetMembership.cpp
+++ b/Libraries/LibFleet/FleetMembership.cpp
@@ -47,6 +47,8 @@
     : Self(std::move(self)), Seeds(std::move(seeds)), Rng(rngSeed), StartedAt(startedAt),
       ReceivedAt(startedAt) {
   std::erase(Seeds, Self.Ip);
+  // VMs that start together turn to different seeds.
+  std::ranges::shuffle(Seeds, Rng.engine());
 }
 
 bool FleetMembership::isAlive(const Peer &peer, TimePoint now) const {
@@ -95,7 +97,7 @@
   return {.To = to, .Message = std::move(message)};
 }
 
-std::vector<FleetDatagram> FleetMembership::tick(TimePoint now) {
+std::vector<FleetDatagram> FleetMembership::tick(TimePoint now, bool wantsNews) {
   ++TickCount;
   ++Self.HeartbeatCount;
   Clocks.expire(now);
@@ -110,16 +112,19 @@
   };
   LocalPeerCount = static_cast<std::size_t>(std::ranges::count_if(
       Peers, [&](const auto &it) { return isInOwnDataCentre(it.second.Vm); }));
-  addMessage(pickPeer(true, now), false, AnswerWanted::None);
+  const auto wanted = wantsNews ? AnswerWanted::Own : AnswerWanted::None;
+  addMessage(pickPeer(true, now), false, wanted);
   if (LocalPeerCount > MaxLocalPeersForOneMessage)
-    addMessage(pickPeer(true, now), false, AnswerWanted::None);
-  if (TickCount % RemoteGossipIntervalTicks == 0)
-    addMessage(pickPeer(false, now), true, AnswerWanted::None);
+    addMessage(pickPeer(true, now), false, wanted);
+  if (wantsNews || TickCount % RemoteGossipIntervalTicks == 0)
+    addMessage(pickPeer(false, now), true, wanted);
   const bool isIsolated = now - ReceivedAt > IsolatedAfter;
   const bool wantsContact = isIsolated || now - StartedAt < JoinDuration;
-  if (!Seeds.empty() && (wantsContact || TickCount % SeedContactIntervalTicks == 0))
-    addMessage(Seeds[Rng.below(Seeds.size())], false,
-               wantsContact ? AnswerWanted::All : AnswerWanted::None);
+  // The first seed may be down.
+  const bool wantsAllSeeds = isIsolated || (Peers.empty() && TickCount > 1);
+  if (wantsContact || TickCount % SeedContactIntervalTicks == 0)
+    for (const VmAddress it : nextSeeds(wantsAllSeeds ? Seeds.size() : 1))
+      addMessage(it, false, wantsContact ? AnswerWanted::All : AnswerWanted::None);
   if (isIsolated)
     addMessage(pickKnownPeer(), false, AnswerWanted::All);
   return datagrams;
@@ -130,6 +135,8 @@
   const VmAddress sender = message.Sender.Ip;
   const bool isNew = !Peers.contains(sender);
   merge(message.Sender, now);
+  if (const auto it = Peers.find(sender); it != Peers.end())
+    it->second.ContactAt = now;
   for (const FleetVm &it : message.Others)
     merge(it, now);
   if (sender == Self.Ip)
@@ -279,6 +286,13 @@
   return choices[Rng.below(choices.size())];
 }
 
+std::span<const VmAddress> FleetMembership::nextSeeds(std::size_t maxCount) {
+  const std::size_t count = std::min(maxCount, Seeds.size());
+  if (count < Seeds.size())
+    std::rotate(Seeds.begin(), Seeds.begin() + 1, Seeds.end());
+  return std::span{Seeds}.first(count);
+}
+
 std::optional<VmAddress> FleetMembership::pickKnownPeer() {
   if (Peers.empty())
     return std::nullopt;
--- a/Libraries/LibFleet/FleetMembership.h
+++ b/Libraries/LibFleet/FleetMembership.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -78,8 +79,9 @@
   /// alive.
   std::vector<FleetDatagram> stop(TimePoint now);
 
-  /// Returns the regular gossip messages; to be called every `GossipInterval`.
-  std::vector<FleetDatagram> tick(TimePoint now);
+  /// Returns the regular gossip messages; to be called every `GossipInterval`. A VM that wants news
+  /// sends to another data centre each time and asks for answers.
+  std::vector<FleetDatagram> tick(TimePoint now, bool wantsNews = false);
   /// Merges the VM states of a message; the caller applies its delta. Returns an answer if the
   /// sender wants one or was unknown.
   std::vector<FleetDatagram> didReceive(const FleetMessage &message, TimePoint now);
@@ -111,7 +113,8 @@
   StoreOutage storeOutage(Duration maxSilence, TimePoint now) const;
   /// Whether the replica of some VM is ahead of this VM's.
   bool isBehind(TimePoint now) const;
-  /// A random VM whose replica is ahead of a revision, preferably in the same data centre.
+  /// A random VM whose replica is ahead of a revision, preferably one that was heard a moment ago,
+  /// and of this data centre.
   std::optional<VmAddress> findPeerAhead(StoreRevision revision, const std::set<VmAddress> &avoided,
                                          TimePoint now);
   /// The fraction of the fleet's budgets, such as those for probes and repeated requests, that this
@@ -132,6 +135,8 @@
     FleetVm Vm;
     /// When a newer state of the VM last arrived.
     TimePoint HeardAt{};
+    /// When a message of the VM itself last arrived.
+    std::optional<TimePoint> ContactAt{};
     bool WasReportedAlive = false;
   };
 
@@ -155,6 +160,8 @@
   FleetMessage composeMessage(bool isToRemote, TimePoint now);
   /// Returns a random VM among those that are considered alive.
   std::optional<VmAddress> pickPeer(bool isLocalWanted, TimePoint now);
+  /// Returns the seeds in turn.
+  std::span<const VmAddress> nextSeeds(std::size_t maxCount);
   /// Returns a random VM, whether or not it is considered alive.
   std::optional<VmAddress> pickKnownPeer();
 
--- a/Libraries/LibFleet/FleetMembershipRoles.cpp
+++ b/Libraries/LibFleet/FleetMembershipRoles.cpp
@@ -1,6 +1,7 @@
 #include <LibFleet/FleetMembership.h>
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <tuple>
 
@@ -15,6 +16,8 @@
 constexpr double AssumedFleetSize = 12;
 constexpr Duration AssumedSizeDuration = std::chrono::seconds{3};
 constexpr std::size_t ReadersPerDataCentre = 1;
+// A VM that was heard within this time is probably still running.
+constexpr Duration RecentContact = std::chrono::seconds{1};
 
 std::uint64_t hashAddress(std::uint64_t address) {
   address ^= address >> 33;
@@ -89,15 +92,18 @@
 std::optional<VmAddress> FleetMembership::findPeerAhead(StoreRevision revision,
                                                         const std::set<VmAddress> &avoided,
                                                         TimePoint now) {
-  std::vector<VmAddress> local;
-  std::vector<VmAddress> remote;
-  for (const auto &[ip, peer] : Peers)
-    if (isAlive(peer, now) && peer.Vm.Revision > revision && !avoided.contains(ip))
-      (isInOwnDataCentre(peer.Vm) ? local : remote).push_back(ip);
-  const auto &vms = local.empty() ? remote : local;
-  if (vms.empty())
+  // By preference: heard of a moment ago, then local.
+  std::array<std::vector<VmAddress>, 4> choices;
+  for (const auto &[ip, peer] : Peers) {
+    if (!isAlive(peer, now) || peer.Vm.Revision <= revision || avoided.contains(ip))
+      continue;
+    const bool wasHeard = peer.ContactAt && now - *peer.ContactAt < RecentContact;
+    choices[(wasHeard ? 0 : 2) + (isInOwnDataCentre(peer.Vm) ? 0 : 1)].push_back(ip);
+  }
+  const auto best = std::ranges::find_if(choices, [](const auto &it) { return !it.empty(); });
+  if (best == choices.end())
     return std::nullopt;
-  return vms[Rng.below(vms.size())];
+  return (*best)[Rng.below(best->size())];
 }
 
 double FleetMembership::budgetShare(TimePoint now) const {
--- a/Libraries/LibFleet/FleetReplica.cpp
+++ b/Libraries/LibFleet/FleetReplica.cpp
@@ -17,6 +17,8 @@
 ReplicaUpdate FleetReplica::didReceive(const FleetMessage &message, TimePoint now) {
   ReplicaUpdate update{.Datagrams = Members.didReceive(message, now),
                        .ChangesFrom = Freshness.currentAt()};
+  if (message.Wanted != AnswerWanted::None)
+    addMissingChanges(message.Sender, update.Datagrams);
   if (message.Delta && Replica.revision() >= message.DeltaAfter &&
       message.Delta->AsOf > Replica.revision())
     apply(*message.Delta, message.DeltaAfter, scopeOfChangesFrom(message.Sender.Ip), now, update);
@@ -24,6 +26,16 @@
   return update;
 }
 
+void FleetReplica::addMissingChanges(const FleetVm &asker, std::vector<FleetDatagram> &answers) {
+  // A VM without any replica reads a complete copy over a connection.
+  if (asker.Revision == 0 || asker.Revision >= Replica.revision())
+    return;
+  for (FleetDatagram &it : answers) {
+    it.Message.Delta = Replica.changesSince(asker.Revision);
+    it.Message.DeltaAfter = asker.Revision;
+  }
+}
+
 void FleetReplica::didReceiveConfirmation(const FleetMessage &message, TimePoint now,
                                           ReplicaUpdate &update) {
   if (message.Sender.Revision > Replica.revision())
--- a/Libraries/LibFleet/FleetReplica.h
+++ b/Libraries/LibFleet/FleetReplica.h
@@ -29,6 +29,12 @@
       : Members(std::move(self), std::move(seeds), rngSeed, startedAt),
         Freshness(limits, rngSeed, startedAt) {}
 
+  /// Returns the regular messages; to be called every `FleetMembership::GossipInterval`. The store
+  /// may refuse a VM whose replica is too old, so it turns to other VMs as well.
+  std::vector<FleetDatagram> tick(TimePoint now) {
+    return Members.tick(now, now >= Freshness.expiresAt());
+  }
+
   /// Merges a message of another VM.
   ReplicaUpdate didReceive(const FleetMessage &message, TimePoint now);
   /// Merges changes after a revision that the store sent. They include all that the store had
@@ -55,6 +61,8 @@
   void apply(const StoreDelta &delta, StoreRevision after, PropagationScope scope, TimePoint now,
              ReplicaUpdate &update);
   PropagationScope scopeOfChangesFrom(VmAddress peer) const;
+  /// Adds the changes that a VM lacks to the answers to its question.
+  void addMissingChanges(const FleetVm &asker, std::vector<FleetDatagram> &answers);
   void didReceiveConfirmation(const FleetMessage &message, TimePoint now, ReplicaUpdate &update);
 
   FleetMembership Members;
--- a/Tests/LibFleet/TestFleetReplica.cpp
+++ b/Tests/LibFleet/TestFleetReplica.cpp
@@ -95,6 +95,16 @@
   EXPECT_LE(receiver.freshness().age(sentAt + ms(10)), ms(15));
 }
 
+// Guards against a VM that lacks a change, asks, and learns only that it does.
+TEST(FleetReplica, AnswersContainTheChangesThatTheAskerLacks) {
+  FleetReplica sender = replicaOf(Sender);
+  FleetReplica receiver = replicaOf(Receiver);
+  introduce(sender, receiver);
+  sender.didReadStore({.Items = {{.Key = "k", .Revision = 8}}, .AsOf = 8}, 7, Start, Start);
+  exchange(receiver, sender, {receiver.members().ask(Sender, Start)}, Start, ms(1));
+  EXPECT_EQ(receiver.revision(), 8U);
+}
+
 // Guards against VMs that ask each other again and again while the store confirms no replica.
 TEST(FleetReplica, UnconfirmedVmsAreNotAskedAgainAtOnce) {
   FleetReplica receiver = replicaOf(Receiver);
