LibFleet: Let one reader confirm the replicas of all data centres

The age limits cost calls: each reader had the store confirm its replica each 0.6 D, and read each change although another reader had sent it.

The reader of the first data centre that reaches the store now leads: it tells the readers elsewhere each time that the store confirms its replica, and whoever gets that tells its data centre. As long as a reader hears from it, it watches for 1.2 D and gathers changes until its own confirmation is due. Nobody depends on the lead reader: each reader still watches all the time, so it learns of changes at once, and a copy that nobody confirms reaches its limit as before. A reader that is asked while its own confirmation is overdue asks the lead reader.

--- a/Libraries/LibDiscovery/StoreSyncPolicy.cpp
+++ b/Libraries/LibDiscovery/StoreSyncPolicy.cpp
@@ -8,10 +8,6 @@
 
 namespace {
 
-// Delay before a watch that follows another watch or a complete read, so that changes in quick
-// succession are fetched with one call. Also the delay before a watch that follows a revision
-// check, if more than one watch in a row has failed.
-constexpr Duration WatchBatchingDelay = std::chrono::milliseconds{500};
 // How often a VM that receives changes from its peers checks whether it must read the store itself.
 constexpr Duration ReaderRoleCheckInterval = std::chrono::milliseconds{300};
 // How long a VM that doesn't read the store counts as disconnected after its last failed call.
@@ -96,7 +92,7 @@
   return MustReadAll ? MaxRetryDelayOfReads : MaxRetryDelayOfOthers;
 }
 
-Duration StoreSyncPolicy::pause(double jitter, Duration maxBatchingDelay) const {
+Duration StoreSyncPolicy::pause(double jitter, Duration batchingDelay) const {
   if (LastStep == StoreSyncStep::WaitForPeers)
     return ReaderRoleCheckInterval;
   if (ConsecutiveFailedReads > 0)
@@ -106,9 +102,8 @@
   // If the store answers revision checks but interrupts every watch, calls without a pause would
   // flood it.
   if (ConsecutiveFailedWatches > 1)
-    return WatchBatchingDelay;
-  return LastStep == StoreSyncStep::CheckRevision ? Duration::zero()
-                                                  : std::min(WatchBatchingDelay, maxBatchingDelay);
+    return BatchingDelay;
+  return LastStep == StoreSyncStep::CheckRevision ? Duration::zero() : batchingDelay;
 }
 
 } // namespace wigeonlift
--- a/Libraries/LibDiscovery/StoreSyncPolicy.h
+++ b/Libraries/LibDiscovery/StoreSyncPolicy.h
@@ -48,6 +48,11 @@
 /// therefore counts as disconnected for some time even if the revision check succeeds.
 class StoreSyncPolicy {
 public:
+  /// Delay before a watch that follows another watch or a complete read, so that changes in quick
+  /// succession are fetched with one call. Also the delay before a watch that follows a revision
+  /// check, if more than one watch in a row has failed.
+  static constexpr Duration BatchingDelay = std::chrono::milliseconds{500};
+
   /// Returns the next step. If the replica has never been complete or may lack changes, the next
   /// step is `ReadAll` in any case.
   StoreSyncStep nextStep(StoreSyncNeed need, TimePoint now);
@@ -68,9 +73,9 @@
   /// missing.
   bool isRecovering() const { return IsDisconnected && HasStoreAnswered; }
   /// Delay before the next step. `jitter` is a random number from 0 to 1, so that VMs whose calls
-  /// failed at the same time don't retry at the same time. After an answer the next call can be
-  /// delayed up to `maxBatchingDelay`.
-  Duration pause(double jitter, Duration maxBatchingDelay) const;
+  /// failed at the same time don't retry at the same time. `batchingDelay` is the delay of a watch
+  /// that follows another watch or a complete read.
+  Duration pause(double jitter, Duration batchingDelay) const;
 
 private:
   void didAnswer(TimePoint now);
--- a/Libraries/LibFleet/FleetCodec.cpp
+++ b/Libraries/LibFleet/FleetCodec.cpp
@@ -85,6 +85,7 @@
     encode(it, *out.add_others());
   out.set_wanted(static_cast<std::uint32_t>(message.Wanted));
   out.set_sent_at_ms(message.SentAtMs);
+  out.set_from_lead_reader(message.IsFromLeadReader);
   if (const auto &reading = message.ReplicaConfirmedAt) {
     out.mutable_times()->set_incarnation(reading->Incarnation);
     out.mutable_times()->set_replica_confirmed_at_ms(reading->Ms);
@@ -105,6 +106,7 @@
   FleetMessage message{.Sender = decode(in.sender()),
                        .SentAtMs = in.sent_at_ms(),
                        .ReplicaConfirmedAt = {},
+                       .IsFromLeadReader = in.from_lead_reader(),
                        .StoreReachedAt = {},
                        .Others = {},
                        .Wanted = decodeWanted(in.wanted()),
--- a/Libraries/LibFleet/FleetMembership.cpp
+++ b/Libraries/LibFleet/FleetMembership.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -86,7 +87,9 @@
 
 FleetMessage FleetMembership::messageWithSelf(TimePoint now) const {
   return {.Sender = Self,
-          .SentAtMs = static_cast<std::uint64_t>(toMilliseconds(now.time_since_epoch()))};
+          .SentAtMs = static_cast<std::uint64_t>(toMilliseconds(now.time_since_epoch())),
+          .ReplicaConfirmedAt = {},
+          .IsFromLeadReader = IsLead};
 }
 
 FleetDatagram FleetMembership::addressTo(VmAddress to, FleetMessage message, TimePoint now) const {
@@ -97,9 +100,28 @@
   return {.To = to, .Message = std::move(message)};
 }
 
+std::vector<FleetDatagram> FleetMembership::addressTo(std::span<const VmAddress> receivers,
+                                                      const FleetMessage &message,
+                                                      TimePoint now) const {
+  std::vector<FleetDatagram> datagrams;
+  datagrams.reserve(receivers.size());
+  for (const VmAddress it : receivers)
+    datagrams.push_back(addressTo(it, message, now));
+  return datagrams;
+}
+
+std::vector<VmAddress> FleetMembership::localVms(TimePoint now) const {
+  std::vector<VmAddress> vms;
+  for (const auto &[ip, peer] : Peers)
+    if (isInOwnDataCentre(peer.Vm) && isAlive(peer, now))
+      vms.push_back(ip);
+  return vms;
+}
+
 std::vector<FleetDatagram> FleetMembership::tick(TimePoint now, bool wantsNews) {
   ++TickCount;
   ++Self.HeartbeatCount;
+  IsLead = isLeadReader(now);
   Clocks.expire(now);
   std::erase_if(Peers, [&](const auto &it) { return now - it.second.HeardAt > ForgetAfter; });
   std::vector<FleetDatagram> datagrams;
@@ -163,21 +185,10 @@
 std::vector<FleetDatagram> FleetMembership::propagate(const StoreDelta &delta,
                                                       StoreRevision deltaAfter,
                                                       PropagationScope scope, TimePoint now) {
-  std::vector<VmAddress> receivers;
-  std::set<std::string> dataCentres{Self.DataCentre};
-  for (const auto &[ip, peer] : Peers) {
-    if (!isAlive(peer, now))
-      continue;
-    if (isInOwnDataCentre(peer.Vm)) {
-      if (peer.Vm.Revision < delta.AsOf)
-        receivers.push_back(ip);
-    } else if (scope == PropagationScope::LocalVmsAndRemoteReaders &&
-               dataCentres.insert(peer.Vm.DataCentre).second) {
-      for (const FleetVm &it : readersOf(peer.Vm.DataCentre, now))
-        if (it.Revision < delta.AsOf)
-          receivers.push_back(it.Ip);
-    }
-  }
+  std::vector<VmAddress> receivers = localVms(now);
+  if (scope == PropagationScope::LocalVmsAndRemoteReaders)
+    std::ranges::copy(remoteReaders(now), std::back_inserter(receivers));
+  std::erase_if(receivers, [&](VmAddress it) { return Peers.at(it).Vm.Revision >= delta.AsOf; });
   if (scope == PropagationScope::FewLocalVms) {
     std::ranges::shuffle(receivers, Rng.engine());
     receivers.resize(std::min(receivers.size(), FewLocalReceivers));
@@ -185,21 +196,18 @@
   FleetMessage out = messageWithSelf(now);
   out.Delta = delta;
   out.DeltaAfter = deltaAfter;
-  std::vector<FleetDatagram> datagrams;
-  datagrams.reserve(receivers.size());
-  for (const VmAddress it : receivers)
-    datagrams.push_back(addressTo(it, out, now));
-  return datagrams;
+  return addressTo(receivers, out, now);
 }
 
-std::vector<FleetDatagram> FleetMembership::announce(TimePoint now) {
+std::vector<FleetDatagram> FleetMembership::announce(bool isFromLeadReader, TimePoint now) {
   ++Self.HeartbeatCount;
-  const FleetMessage out = messageWithSelf(now);
-  std::vector<FleetDatagram> datagrams;
-  for (const auto &[ip, peer] : Peers)
-    if (isInOwnDataCentre(peer.Vm) && isAlive(peer, now))
-      datagrams.push_back(addressTo(ip, out, now));
-  return datagrams;
+  IsLead = isLeadReader(now);
+  std::vector<VmAddress> receivers = localVms(now);
+  if (IsLead)
+    std::ranges::copy(remoteReaders(now), std::back_inserter(receivers));
+  FleetMessage out = messageWithSelf(now);
+  out.IsFromLeadReader |= isFromLeadReader;
+  return addressTo(receivers, out, now);
 }
 
 FleetDatagram FleetMembership::ask(VmAddress vm, TimePoint now) const {
--- a/Libraries/LibFleet/FleetMembership.h
+++ b/Libraries/LibFleet/FleetMembership.h
@@ -89,8 +89,10 @@
   /// them.
   std::vector<FleetDatagram> propagate(const StoreDelta &delta, StoreRevision deltaAfter,
                                        PropagationScope scope, TimePoint now);
-  /// Returns messages that tell the other VMs of the data centre the present state of this VM.
-  std::vector<FleetDatagram> announce(TimePoint now);
+  /// Returns messages that tell the other VMs of the data centre the present state of this VM. The
+  /// lead reader also tells the readers of the other data centres. `isFromLeadReader` is set when
+  /// its message is passed on.
+  std::vector<FleetDatagram> announce(bool isFromLeadReader, TimePoint now);
   /// Returns a message that asks a VM for its present state.
   FleetDatagram ask(VmAddress vm, TimePoint now) const;
   /// Returns a message that asks the reader of this data centre, unless this VM is the reader.
@@ -106,6 +108,10 @@
   std::vector<FleetVm> aliveVms(TimePoint now) const;
   /// Whether this VM watches the store for its data centre.
   bool isReader(TimePoint now) const;
+  /// The reader that tells those of the other data centres each time that the store confirms its
+  /// replica. If all VMs know each other, there is one in the fleet.
+  std::optional<VmAddress> leadReader(TimePoint now) const;
+  bool isLeadReader(TimePoint now) const { return leadReader(now) == Self.Ip; }
   /// The VM that watches the store for this data centre. Empty if this VM does so itself or no VM
   /// is able to.
   std::optional<OtherReader> otherReader(TimePoint now) const;
@@ -147,9 +153,15 @@
   FleetMessage messageWithSelf(TimePoint now) const;
   /// Adds what depends on the receiver to a message.
   FleetDatagram addressTo(VmAddress to, FleetMessage message, TimePoint now) const;
+  std::vector<FleetDatagram> addressTo(std::span<const VmAddress> receivers,
+                                       const FleetMessage &message, TimePoint now) const;
+  /// The other VMs of this data centre that are considered alive.
+  std::vector<VmAddress> localVms(TimePoint now) const;
   /// VMs of a data centre in the order of preference as readers. Stopping VMs and VMs without a
   /// copy of the store are left out.
   std::vector<FleetVm> readerCandidates(std::string_view dataCentre, TimePoint now) const;
+  /// The readers of the other data centres.
+  std::vector<VmAddress> remoteReaders(TimePoint now) const;
   /// The readers of a data centre, which are its first candidates.
   std::vector<FleetVm> readersOf(std::string_view dataCentre, TimePoint now) const;
   std::vector<const Peer *> mostRecentlyHeard(bool isLocalWanted, std::size_t maxCount,
@@ -176,6 +188,8 @@
   /// When the store last answered a call, as far as known.
   std::optional<TimePoint> StoreReachedAt;
   std::optional<TimePoint> ReplicaConfirmedAt;
+  /// Whether this VM was the lead reader at the last tick or announcement.
+  bool IsLead = false;
   std::uint64_t TickCount = 0;
   /// Number of other VMs of the own data centre at the last tick, including those that are
   /// considered dead.
--- a/Libraries/LibFleet/FleetMembershipRoles.cpp
+++ b/Libraries/LibFleet/FleetMembershipRoles.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <set>
 #include <tuple>
 
 namespace wigeonlift {
@@ -25,6 +26,8 @@
   return address ^ (address >> 33);
 }
 
+bool isReaderCandidate(const FleetVm &vm) { return !vm.IsStopping && vm.Revision > 0; }
+
 } // namespace
 
 std::vector<FleetVm> FleetMembership::aliveVms(TimePoint now) const {
@@ -38,9 +41,11 @@
 std::vector<FleetVm> FleetMembership::readerCandidates(std::string_view dataCentre,
                                                        TimePoint now) const {
   std::vector<FleetVm> vms;
-  for (const FleetVm &it : aliveVms(now))
-    if (it.DataCentre == dataCentre && !it.IsStopping && it.Revision > 0)
-      vms.push_back(it);
+  if (Self.DataCentre == dataCentre && isReaderCandidate(Self))
+    vms.push_back(Self);
+  for (const auto &[ip, peer] : Peers)
+    if (peer.Vm.DataCentre == dataCentre && isReaderCandidate(peer.Vm) && isAlive(peer, now))
+      vms.push_back(peer.Vm);
   // VMs that reach the store come first. Among them, VMs with a larger weight come first, since a
   // reader serves its whole data centre.
   std::ranges::sort(vms, {}, [](const FleetVm &it) {
@@ -61,6 +66,30 @@
                              [&](const FleetVm &it) { return it.Ip == Self.Ip; });
 }
 
+std::optional<VmAddress> FleetMembership::leadReader(TimePoint now) const {
+  // All VMs see the same data centre as the first one that has a VM which reaches the store.
+  const auto qualifies = [](const FleetVm &vm) {
+    return isReaderCandidate(vm) && !vm.IsStoreDisconnected;
+  };
+  std::optional<std::string_view> first;
+  if (qualifies(Self))
+    first = Self.DataCentre;
+  for (const auto &[ip, peer] : Peers)
+    if ((!first || peer.Vm.DataCentre < *first) && qualifies(peer.Vm) && isAlive(peer, now))
+      first = peer.Vm.DataCentre;
+  return first ? std::optional{readersOf(*first, now).front().Ip} : std::nullopt;
+}
+
+std::vector<VmAddress> FleetMembership::remoteReaders(TimePoint now) const {
+  std::set<std::string_view> dataCentres{Self.DataCentre};
+  std::vector<VmAddress> readers;
+  for (const auto &[ip, peer] : Peers)
+    if (isAlive(peer, now) && dataCentres.insert(peer.Vm.DataCentre).second)
+      for (const FleetVm &it : readersOf(peer.Vm.DataCentre, now))
+        readers.push_back(it.Ip);
+  return readers;
+}
+
 std::optional<OtherReader> FleetMembership::otherReader(TimePoint now) const {
   const std::vector<FleetVm> readers = readersOf(Self.DataCentre, now);
   if (readers.empty() || readers.front().Ip == Self.Ip)
--- a/Libraries/LibFleet/FleetMessage.h
+++ b/Libraries/LibFleet/FleetMessage.h
@@ -47,6 +47,8 @@
   /// The sender's replica has all changes that the store had acknowledged by then, on the
   /// receiver's clock. Empty if that isn't known, or not how the receiver's clock runs.
   std::optional<ClockReading> ReplicaConfirmedAt{};
+  /// Whether the lead reader sends this, directly or through a VM of the receiver's data centre.
+  bool IsFromLeadReader = false;
   /// The store answered a call of some VM at this time, on the receiver's clock. Empty if no such
   /// answer is known, or not how the receiver's clock runs.
   std::optional<ClockReading> StoreReachedAt{};
--- a/Libraries/LibFleet/FleetReplica.cpp
+++ b/Libraries/LibFleet/FleetReplica.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-// Bounds the questions that follow from messages which don't tell how recent the replica is.
+// Bounds the questions that follow from messages of other VMs.
 constexpr Duration MinQuestionInterval = std::chrono::milliseconds{100};
 
 } // namespace
@@ -17,15 +17,25 @@
 ReplicaUpdate FleetReplica::didReceive(const FleetMessage &message, TimePoint now) {
   ReplicaUpdate update{.Datagrams = Members.didReceive(message, now),
                        .ChangesFrom = Freshness.currentAt()};
-  if (message.Wanted != AnswerWanted::None)
+  if (message.Wanted != AnswerWanted::None) {
     addMissingChanges(message.Sender, update.Datagrams);
-  if (message.Delta && Replica.revision() >= message.DeltaAfter &&
-      message.Delta->AsOf > Replica.revision())
+    askLeadReader(update, now);
+  }
+  // The messages that pass changes on contain the new age.
+  const bool hasChanges = isNext(message);
+  const StoreRevision revision = hasChanges ? message.Delta->AsOf : Replica.revision();
+  if (message.Sender.Revision <= revision)
+    didReceiveConfirmation(message, now, update);
+  if (hasChanges)
     apply(*message.Delta, message.DeltaAfter, scopeOfChangesFrom(message.Sender.Ip), now, update);
-  didReceiveConfirmation(message, now, update);
   return update;
 }
 
+bool FleetReplica::isNext(const FleetMessage &message) const {
+  return message.Delta && Replica.revision() >= message.DeltaAfter &&
+         message.Delta->AsOf > Replica.revision();
+}
+
 void FleetReplica::addMissingChanges(const FleetVm &asker, std::vector<FleetDatagram> &answers) {
   // A VM without any replica reads a complete copy over a connection.
   if (asker.Revision == 0 || asker.Revision >= Replica.revision())
@@ -38,15 +48,37 @@
 
 void FleetReplica::didReceiveConfirmation(const FleetMessage &message, TimePoint now,
                                           ReplicaUpdate &update) {
-  if (message.Sender.Revision > Replica.revision())
+  const VmAddress sender = message.Sender.Ip;
+  if (const auto confirmedAt = Members.toOwnTime(message.ReplicaConfirmedAt, now)) {
+    didConfirm(*confirmedAt);
+    if (message.IsFromLeadReader)
+      LeadConfirmedAt = *confirmedAt;
+    if (message.IsFromLeadReader && !Members.isInOwnDataCentre(sender))
+      announce(update, true, now);
     return;
-  if (const auto confirmedAt = Members.toOwnTime(message.ReplicaConfirmedAt, now))
-    return didConfirm(*confirmedAt);
+  }
   // The sender may not know this VM's clock yet. The question shows it.
-  if (now < Freshness.questionDue() || now - AskedAt < MinQuestionInterval)
+  if (mayAsk(now)) {
+    AskedAt = now;
+    update.Datagrams.push_back(Members.ask(sender, now));
+  }
+}
+
+bool FleetReplica::mayAsk(TimePoint now) const {
+  return now >= Freshness.questionDue() && now - AskedAt >= MinQuestionInterval;
+}
+
+void FleetReplica::askLeadReader(ReplicaUpdate &update, TimePoint now) {
+  const auto lead = Members.leadReader(now);
+  if (!mayAsk(now) || !Members.isReader(now) || !lead || *lead == Members.self().Ip)
     return;
   AskedAt = now;
-  update.Datagrams.push_back(Members.ask(message.Sender.Ip, now));
+  update.Datagrams.push_back(Members.ask(*lead, now));
+}
+
+bool FleetReplica::hasLeadReader(TimePoint now) const {
+  return LeadConfirmedAt && now - *LeadConfirmedAt < Freshness.limits().MinAgeLimit &&
+         !Members.isLeadReader(now);
 }
 
 void FleetReplica::didConfirm(TimePoint confirmedAt) {
@@ -54,13 +86,17 @@
     Members.setReplicaConfirmedAt(confirmedAt);
 }
 
-std::vector<FleetDatagram> FleetReplica::announceAge(const ReplicaUpdate &update, TimePoint now) {
+void FleetReplica::announceAge(ReplicaUpdate &update, TimePoint now) {
+  announce(update, false, now);
+}
+
+void FleetReplica::announce(ReplicaUpdate &update, bool isFromLeadReader, TimePoint now) {
   std::set<VmAddress> told;
   for (const FleetDatagram &it : update.Datagrams)
     told.insert(it.To);
-  auto datagrams = Members.announce(now);
-  std::erase_if(datagrams, [&](const FleetDatagram &it) { return told.contains(it.To); });
-  return datagrams;
+  for (FleetDatagram &it : Members.announce(isFromLeadReader, now))
+    if (!told.contains(it.To))
+      update.Datagrams.push_back(std::move(it));
 }
 
 ReplicaUpdate FleetReplica::didReadStore(const StoreDelta &delta, StoreRevision after,
--- a/Libraries/LibFleet/FleetReplica.h
+++ b/Libraries/LibFleet/FleetReplica.h
@@ -41,12 +41,13 @@
   /// acknowledged at `confirmedAt`.
   ReplicaUpdate didReadStore(const StoreDelta &delta, StoreRevision after, TimePoint confirmedAt,
                              TimePoint now);
-  /// The store answered this VM: it had acknowledged no later change at `confirmedAt` than those in
-  /// the replica.
+  /// The store had acknowledged no later change at `confirmedAt` than those in the replica.
   void didConfirm(TimePoint confirmedAt);
-  /// Returns messages that tell the other VMs of the data centre how recent this replica is, for
-  /// those that `update` sends nothing to.
-  std::vector<FleetDatagram> announceAge(const ReplicaUpdate &update, TimePoint now);
+  /// Adds messages that tell other VMs how recent this replica is, for those that `update` sends
+  /// nothing to.
+  void announceAge(ReplicaUpdate &update, TimePoint now);
+  /// Whether the lead reader keeps telling this data centre that the replica is current.
+  bool hasLeadReader(TimePoint now) const;
   /// Merges changes after a revision that were requested from another VM.
   ReplicaUpdate didReadPeer(const StoreDelta &delta, StoreRevision after, VmAddress peer,
                             TimePoint now);
@@ -63,13 +64,22 @@
   PropagationScope scopeOfChangesFrom(VmAddress peer) const;
   /// Adds the changes that a VM lacks to the answers to its question.
   void addMissingChanges(const FleetVm &asker, std::vector<FleetDatagram> &answers);
+  /// Whether this VM may ask another one because its replica should have been confirmed by now.
+  bool mayAsk(TimePoint now) const;
+  /// Other VMs miss the message of this reader, which may itself have missed the lead reader's.
+  void askLeadReader(ReplicaUpdate &update, TimePoint now);
+  void announce(ReplicaUpdate &update, bool isFromLeadReader, TimePoint now);
+  /// Whether a message contains changes that this replica lacks, and none are missing before them.
+  bool isNext(const FleetMessage &message) const;
   void didReceiveConfirmation(const FleetMessage &message, TimePoint now, ReplicaUpdate &update);
 
   FleetMembership Members;
   StoreReplica Replica;
   ReplicaFreshness Freshness;
-  /// When a message that didn't tell how recent the replica is was last answered by a question.
+  /// When a message was last answered by a question.
   TimePoint AskedAt{};
+  /// The latest confirmation that the lead reader has told.
+  std::optional<TimePoint> LeadConfirmedAt;
 };
 
 } // namespace wigeonlift
--- a/Libraries/LibFleet/StoreSync.cpp
+++ b/Libraries/LibFleet/StoreSync.cpp
@@ -15,6 +15,9 @@
 constexpr Duration WatchAnswerTimeout = std::chrono::milliseconds{500};
 // The store must hold a watch for some time, or watches would follow each other without a pause.
 constexpr Duration MinWatchWait = std::chrono::milliseconds{50};
+// The watch of a reader that is told by the lead reader how recent its replica is. Longer ones
+// would save few calls, and one that is broken would be noticed later.
+constexpr int FollowerWatchIntervals = 2;
 
 } // namespace
 
@@ -25,6 +28,8 @@
 }
 
 Duration StoreSync::watchWait(TimePoint now) const {
+  if (Fleet.hasLeadReader(now))
+    return FollowerWatchIntervals * Fleet.freshness().limits().ConfirmInterval;
   const Duration left = Fleet.freshness().confirmationDue() - now - AnswerTime;
   return std::clamp(left, MinWatchWait,
                     std::max(MinWatchWait, Fleet.freshness().limits().ConfirmInterval));
@@ -59,9 +64,7 @@
 
 Duration StoreSync::pause(TimePoint now) {
   const ReplicaFreshness &freshness = Fleet.freshness();
-  const Duration untilConfirmation = freshness.confirmationDue() - now;
-  const Duration pause =
-      Policy.pause(Rng.unit(), WasWatchIdle ? Duration::zero() : untilConfirmation);
+  const Duration pause = Policy.pause(Rng.unit(), batchingDelay(now));
   if (LastCall.Step != StoreSyncStep::WaitForPeers)
     return std::max(Duration::zero(), pause);
   const bool wasQuestionDue = now >= freshness.questionDue();
@@ -69,6 +72,15 @@
   return std::clamp(end - now, Duration::zero(), pause);
 }
 
+Duration StoreSync::batchingDelay(TimePoint now) const {
+  if (WasWatchIdle)
+    return Duration::zero();
+  const Duration untilConfirmation = Fleet.freshness().confirmationDue() - now;
+  // The lead reader sends changes meanwhile.
+  return Fleet.hasLeadReader(now) ? untilConfirmation
+                                  : std::min(StoreSyncPolicy::BatchingDelay, untilConfirmation);
+}
+
 void StoreSync::didAnswer(TimePoint now) {
   // After an outage, entries whose leases have expired aren't back at once.
   if (!Policy.isDisconnected())
@@ -112,7 +124,7 @@
   std::ranges::move(updateConnection(now), std::back_inserter(update.Datagrams));
   // A VM that has just started reads everything for itself; many may do so at the same time.
   if (LastCall.Need != StoreSyncNeed::None)
-    std::ranges::move(Fleet.announceAge(update, now), std::back_inserter(update.Datagrams));
+    Fleet.announceAge(update, now);
 }
 
 ReplicaUpdate StoreSync::didFail(StoreFailure failure, TimePoint now) {
--- a/Libraries/LibFleet/StoreSync.h
+++ b/Libraries/LibFleet/StoreSync.h
@@ -43,6 +43,8 @@
   /// How long the store may wait with its answer to a watch, so that the replica is confirmed in
   /// time.
   Duration watchWait(TimePoint now) const;
+  /// How long the VM may wait for further changes before its next watch.
+  Duration batchingDelay(TimePoint now) const;
   ReplicaUpdate didRead(const StoreDelta &delta, TimePoint confirmedAt, TimePoint now);
   void didAnswer(TimePoint now);
   /// Adds the messages that follow from a call that succeeded.
--- a/Tests/LibFleet/TestFleet.cpp
+++ b/Tests/LibFleet/TestFleet.cpp
@@ -243,6 +243,28 @@
   EXPECT_FALSE(decompress("no compressed bytes", 1000));
 }
 
+// Guards against data centres that all rely on each other to ask the store, and against one whose
+// readers don't reach it.
+TEST(FleetMembership, OneReaderThatReachesTheStoreLeads) {
+  Network net{12, 3};
+  net.run(std::chrono::seconds{8});
+  const auto leadsIn = [&](std::string_view dataCentre) {
+    return std::ranges::count_if(net.Vms, [&](const auto &it) {
+      return it.second->self().DataCentre == dataCentre && it.second->isLeadReader(net.Now);
+    });
+  };
+  EXPECT_EQ(leadsIn("a"), 1);
+  EXPECT_EQ(leadsIn("b"), 0);
+  EXPECT_EQ(leadsIn("c"), 0);
+  for (auto &[address, vm] : net.Vms)
+    if (vm->self().DataCentre == "a")
+      vm->setStoreDisconnected(true, net.Now);
+  net.run(std::chrono::seconds{4});
+  EXPECT_EQ(leadsIn("a"), 0);
+  EXPECT_EQ(leadsIn("b"), 1);
+  EXPECT_EQ(leadsIn("c"), 0);
+}
+
 // Guards against a VM that was cut off for so long that it and the others take each other for dead,
 // and that stays alone for seconds after it can be reached again. Changes reached it too late.
 TEST(FleetMembership, VmsThatWereCutOffAreBackWithinASecond) {
--- a/Tests/LibFleet/TestFleetReplica.cpp
+++ b/Tests/LibFleet/TestFleetReplica.cpp
@@ -41,6 +41,12 @@
       exchange(to, from, to.didReceive(it.Message, arrival).Datagrams, arrival, delay);
 }
 
+std::vector<FleetDatagram> announce(FleetReplica &replica, TimePoint now) {
+  ReplicaUpdate update;
+  replica.announceAge(update, now);
+  return update.Datagrams;
+}
+
 /// A VM that doesn't reach the store sends a change.
 FleetMessage changeFromADisconnectedVm(VmAddress vm, const char *dataCentre) {
   FleetMessage message{.Sender = {.Ip = vm, .DataCentre = dataCentre, .Incarnation = 1}};
@@ -59,10 +65,10 @@
   FleetReplica sender = replicaOf(Sender);
   FleetReplica receiver = replicaOf(Receiver);
   introduce(sender, receiver);
-  exchange(receiver, sender, receiver.announceAge({}, Start), Start, ms(1));
+  exchange(receiver, sender, announce(receiver, Start), Start, ms(1));
   sender.didConfirm(Start + ms(1000));
   const TimePoint arrival = Start + ms(2200);
-  for (const FleetDatagram &it : sender.announceAge({}, Start + ms(1000)))
+  for (const FleetDatagram &it : announce(sender, Start + ms(1000)))
     if (it.To == Receiver)
       receiver.didReceive(it.Message, arrival);
   EXPECT_NEAR(toSeconds(receiver.freshness().age(arrival)), 1.2, 0.01);
@@ -78,7 +84,7 @@
   for (int n = 1; n < 20; ++n) {
     const TimePoint sentAt = Start + ms(200 * n);
     sender.didConfirm(sentAt);
-    exchange(sender, receiver, sender.announceAge({}, sentAt), sentAt, delay);
+    exchange(sender, receiver, announce(sender, sentAt), sentAt, delay);
     EXPECT_GE(receiver.freshness().age(sentAt + delay), std::min(delay, sentAt + delay - Start));
   }
 }
@@ -91,7 +97,7 @@
   introduce(sender, receiver);
   const TimePoint sentAt = receiver.freshness().questionDue();
   sender.didConfirm(sentAt);
-  exchange(sender, receiver, sender.announceAge({}, sentAt), sentAt, ms(1));
+  exchange(sender, receiver, announce(sender, sentAt), sentAt, ms(1));
   EXPECT_LE(receiver.freshness().age(sentAt + ms(10)), ms(15));
 }
 
@@ -105,6 +111,29 @@
   EXPECT_EQ(receiver.revision(), 8U);
 }
 
+// Guards against a data centre whose VMs ask the store although the lead reader, in another one,
+// has told their reader that nothing has changed.
+TEST(FleetReplica, NewsOfTheLeadReaderIsPassedOn) {
+  FleetReplica reader = replicaOf(Receiver);
+  FleetReplica other = replicaOf(Sender);
+  introduce(reader, other);
+  const TimePoint confirmedAt = Start + ms(1000);
+  FleetMessage message{
+      .Sender = {.Ip = 0x0a000009U, .DataCentre = "0", .Incarnation = 1, .Revision = 7},
+      .IsFromLeadReader = true};
+  message.ReplicaConfirmedAt = ClockReading{
+      .Incarnation = 1,
+      .Ms = static_cast<std::uint64_t>(toMilliseconds(confirmedAt.time_since_epoch()))};
+  EXPECT_FALSE(reader.hasLeadReader(confirmedAt));
+  exchange(other, reader, announce(other, Start), Start, ms(1));
+  exchange(reader, other, announce(reader, Start), Start, ms(1));
+  exchange(reader, other, reader.didReceive(message, confirmedAt).Datagrams, confirmedAt, ms(1));
+  EXPECT_LE(other.freshness().age(confirmedAt), ms(5));
+  EXPECT_TRUE(reader.hasLeadReader(confirmedAt));
+  EXPECT_TRUE(other.hasLeadReader(confirmedAt));
+  EXPECT_FALSE(reader.hasLeadReader(confirmedAt + reader.freshness().limits().MinAgeLimit));
+}
+
 // Guards against VMs that ask each other again and again while the store confirms no replica.
 TEST(FleetReplica, UnconfirmedVmsAreNotAskedAgainAtOnce) {
   FleetReplica receiver = replicaOf(Receiver);
@@ -125,8 +154,8 @@
   const TimePoint answeredAt = Start + ms(100);
   reader.members().didReachStore(answeredAt);
   reader.didConfirm(answeredAt);
-  exchange(receiver, reader, receiver.announceAge({}, Start), Start, ms(1));
-  exchange(reader, receiver, reader.announceAge({}, answeredAt), answeredAt, ms(1));
+  exchange(receiver, reader, announce(receiver, Start), Start, ms(1));
+  exchange(reader, receiver, announce(reader, answeredAt), answeredAt, ms(1));
   const TimePoint now = answeredAt + limits.MaxAgeLimit;
   receiver.didReceive({.Sender = {.Ip = 0x0a000004U,
                                   .DataCentre = "a",
--- a/Tests/LibFleet/TestStoreSync.cpp
+++ b/Tests/LibFleet/TestStoreSync.cpp
@@ -54,4 +54,24 @@
   EXPECT_LE(now, Start + Limits.MaxAgeLimit);
 }
 
+// Guards against readers that all ask the store as often as one of them has to, and against a
+// reader that relies on a lead reader which has fallen silent.
+TEST(StoreSync, WatchesAreLongerWhileTheLeadReaderIsHeard) {
+  FleetReplica fleet{FleetVm{.Ip = 1, .DataCentre = "b", .Incarnation = 1}, {}, Limits, 1, Start};
+  StoreSync sync{fleet, 1};
+  sync.next(Start);
+  sync.didReadAll({.Items = {}, .IsComplete = true, .AsOf = 7}, Start);
+  const StoreCall first = sync.next(Start);
+  EXPECT_EQ(first.Step, StoreSyncStep::Watch);
+  EXPECT_LE(first.Wait, Limits.ConfirmInterval);
+  sync.didWatch({.Items = {}, .AsOf = 7}, Start + ms(1000));
+  FleetMessage fromLead{.Sender = {.Ip = 2, .DataCentre = "a", .Incarnation = 1, .Revision = 7},
+                        .IsFromLeadReader = true};
+  fromLead.ReplicaConfirmedAt = ClockReading{.Incarnation = 1, .Ms = 101'000};
+  fleet.didReceive(fromLead, Start + ms(1000));
+  EXPECT_GT(sync.next(Start + ms(1000)).Wait, Limits.ConfirmInterval);
+  sync.didWatch({.Items = {}, .AsOf = 7}, Start + ms(3400));
+  EXPECT_LE(sync.next(Start + ms(3400)).Wait, Limits.ConfirmInterval);
+}
+
 } // namespace wigeonlift
