LibFleet: Don't use a lagging VM's copy of the store right after a start

What the store answers is used at once, and so is a copy that is known to be current. While the store is down for all, a VM that restarts is ready a second later than before.

--- a/Libraries/LibFleet/FleetReplica.cpp
+++ b/Libraries/LibFleet/FleetReplica.cpp
@@ -11,9 +11,40 @@
 
 // Bounds the questions that follow from messages of other VMs.
 constexpr Duration MinQuestionInterval = std::chrono::milliseconds{100};
+// How long after its start a VM looks for a later copy than one that isn't confirmed, and how long
+// it does if it knows of a later one.
+constexpr Duration NewsTime = std::chrono::seconds{1};
+constexpr Duration MaxNewsTime = std::chrono::seconds{3};
 
 } // namespace
 
+ReplicaUpdate FleetReplica::tick(TimePoint now) {
+  // The store may refuse a VM whose replica is too old, so it turns to other VMs as well.
+  ReplicaUpdate update{.Datagrams = Members.tick(now, now >= Freshness.expiresAt())};
+  release(update, now);
+  return update;
+}
+
+bool FleetReplica::isUsable(TimePoint now) const {
+  if (Replica.isEmpty())
+    return false;
+  if (Freshness.confirmedAt() && Freshness.age(now) <= Freshness.limits().MaxAgeLimit)
+    return true;
+  const Duration sinceStart = now - StartedAt;
+  return sinceStart >= (Members.isBehind(now) ? MaxNewsTime : NewsTime);
+}
+
+void FleetReplica::release(ReplicaUpdate &update, TimePoint now) {
+  if (IsInUse)
+    return;
+  IsInUse = isUsable(now);
+  update.Changes.clear();
+  if (!IsInUse)
+    return;
+  update.Changes = Replica.changesSince(0).Items;
+  std::ranges::sort(update.Changes, {}, &StoreItem::Revision);
+}
+
 ReplicaUpdate FleetReplica::didReceive(const FleetMessage &message, TimePoint now) {
   ReplicaUpdate update{.Datagrams = Members.didReceive(message, now),
                        .ChangesFrom = Freshness.currentAt()};
@@ -28,6 +59,7 @@
     didReceiveConfirmation(message, now, update);
   if (hasChanges)
     apply(*message.Delta, message.DeltaAfter, scopeOfChangesFrom(message.Sender.Ip), now, update);
+  release(update, now);
   return update;
 }
 
@@ -50,7 +82,7 @@
                                           ReplicaUpdate &update) {
   const VmAddress sender = message.Sender.Ip;
   if (const auto confirmedAt = Members.toOwnTime(message.ReplicaConfirmedAt, now)) {
-    didConfirm(*confirmedAt);
+    confirm(*confirmedAt);
     if (message.IsFromLeadReader)
       LeadConfirmedAt = *confirmedAt;
     if (message.IsFromLeadReader && !Members.isInOwnDataCentre(sender))
@@ -81,7 +113,14 @@
          !Members.isLeadReader(now);
 }
 
-void FleetReplica::didConfirm(TimePoint confirmedAt) {
+ReplicaUpdate FleetReplica::didConfirm(TimePoint confirmedAt, TimePoint now) {
+  ReplicaUpdate update;
+  confirm(confirmedAt);
+  release(update, now);
+  return update;
+}
+
+void FleetReplica::confirm(TimePoint confirmedAt) {
   if (Freshness.didConfirm(confirmedAt))
     Members.setReplicaConfirmedAt(confirmedAt);
 }
@@ -103,8 +142,9 @@
                                          TimePoint confirmedAt, TimePoint now) {
   ReplicaUpdate update{.ChangesFrom = Freshness.currentAt()};
   // The messages that pass the changes on contain the new age.
-  didConfirm(confirmedAt);
+  confirm(confirmedAt);
   apply(delta, after, PropagationScope::LocalVmsAndRemoteReaders, now, update);
+  release(update, now);
   return update;
 }
 
@@ -112,6 +152,7 @@
                                         VmAddress peer, TimePoint now) {
   ReplicaUpdate update{.ChangesFrom = Freshness.currentAt()};
   apply(delta, after, scopeOfChangesFrom(peer), now, update);
+  release(update, now);
   return update;
 }
 
--- a/Libraries/LibFleet/FleetReplica.h
+++ b/Libraries/LibFleet/FleetReplica.h
@@ -11,7 +11,7 @@
 struct ReplicaUpdate {
   /// Messages to send.
   std::vector<FleetDatagram> Datagrams{};
-  /// Keys that changed in the replica, sorted by revision.
+  /// Keys that changed in the replica, sorted by revision; all keys when it is first used.
   std::vector<StoreItem> Changes{};
   /// The store acknowledged the changes at this time or later.
   TimePoint ChangesFrom{};
@@ -22,18 +22,19 @@
 /// A VM's replica of the store and its place in the fleet, which keep each other up to date:
 /// changes that the VM learns from the store or from another VM are merged and passed on. Performs
 /// no I/O.
+///
+/// A VM that has just started and gets a copy from another VM, which may itself have missed
+/// changes, doesn't use it before it has been confirmed, or has been looking for a later one for a
+/// while.
 class FleetReplica {
 public:
   FleetReplica(FleetVm self, std::vector<VmAddress> seeds, FreshnessLimits limits,
                std::uint64_t rngSeed, TimePoint startedAt)
       : Members(std::move(self), std::move(seeds), rngSeed, startedAt),
-        Freshness(limits, rngSeed, startedAt) {}
+        Freshness(limits, rngSeed, startedAt), StartedAt(startedAt) {}
 
-  /// Returns the regular messages; to be called every `FleetMembership::GossipInterval`. The store
-  /// may refuse a VM whose replica is too old, so it turns to other VMs as well.
-  std::vector<FleetDatagram> tick(TimePoint now) {
-    return Members.tick(now, now >= Freshness.expiresAt());
-  }
+  /// Returns the regular messages; to be called every `FleetMembership::GossipInterval`.
+  ReplicaUpdate tick(TimePoint now);
 
   /// Merges a message of another VM.
   ReplicaUpdate didReceive(const FleetMessage &message, TimePoint now);
@@ -41,8 +42,9 @@
   /// acknowledged at `confirmedAt`.
   ReplicaUpdate didReadStore(const StoreDelta &delta, StoreRevision after, TimePoint confirmedAt,
                              TimePoint now);
-  /// The store had acknowledged no later change at `confirmedAt` than those in the replica.
-  void didConfirm(TimePoint confirmedAt);
+  /// The store answered this VM: it had acknowledged no later change at `confirmedAt` than those in
+  /// the replica.
+  ReplicaUpdate didConfirm(TimePoint confirmedAt, TimePoint now);
   /// Adds messages that tell other VMs how recent this replica is, for those that `update` sends
   /// nothing to.
   void announceAge(ReplicaUpdate &update, TimePoint now);
@@ -59,6 +61,11 @@
   const ReplicaFreshness &freshness() const { return Freshness; }
 
 private:
+  void confirm(TimePoint confirmedAt);
+  /// Whether the replica is recent enough to be used, or a later one is not to be expected.
+  bool isUsable(TimePoint now) const;
+  /// Adds all keys to the changes when the replica can first be used, and removes them before.
+  void release(ReplicaUpdate &update, TimePoint now);
   void apply(const StoreDelta &delta, StoreRevision after, PropagationScope scope, TimePoint now,
              ReplicaUpdate &update);
   PropagationScope scopeOfChangesFrom(VmAddress peer) const;
@@ -76,6 +83,8 @@
   FleetMembership Members;
   StoreReplica Replica;
   ReplicaFreshness Freshness;
+  TimePoint StartedAt;
+  bool IsInUse = false;
   /// When a message was last answered by a question.
   TimePoint AskedAt{};
   /// The latest confirmation that the lead reader has told.
--- a/Libraries/LibFleet/StoreSync.cpp
+++ b/Libraries/LibFleet/StoreSync.cpp
@@ -92,7 +92,7 @@
   didAnswer(now);
   ReplicaUpdate update;
   if (storeRevision <= Fleet.revision())
-    Fleet.didConfirm(CalledAt);
+    update = Fleet.didConfirm(CalledAt, now);
   finishCall(update, now);
   return update;
 }
--- a/Services/Gateway/FleetTask.cpp
+++ b/Services/Gateway/FleetTask.cpp
@@ -116,7 +116,7 @@
   while (true) {
     const TimePoint now = bootTimeNow();
     Fleet.members().setReady(Owner.isReady());
-    send(Fleet.tick(now));
+    publish(Fleet.tick(now), "peer");
     logReplicaAge(now);
     Owner.setBudgetShare(Fleet.members().budgetShare(now));
     for (const auto &[ip, state] : Fleet.members().takeLivenessChanges(now))
--- a/Tests/LibFleet/ModelFleet.cpp
+++ b/Tests/LibFleet/ModelFleet.cpp
@@ -120,7 +120,7 @@
 }
 
 void ModelFleet::tick(Vm &vm) {
-  send(vm, vm.Fleet->tick(clockOf(vm)));
+  send(vm, vm.Fleet->tick(clockOf(vm)).Datagrams);
   inVm(vm, FleetMembership::GossipInterval + between(Duration::zero(), MaxTimerDelay),
        [this, &vm] { tick(vm); });
 }
--- a/Tests/LibFleet/TestFleetReplica.cpp
+++ b/Tests/LibFleet/TestFleetReplica.cpp
@@ -66,7 +66,7 @@
   FleetReplica receiver = replicaOf(Receiver);
   introduce(sender, receiver);
   exchange(receiver, sender, announce(receiver, Start), Start, ms(1));
-  sender.didConfirm(Start + ms(1000));
+  sender.didConfirm(Start + ms(1000), Start + ms(1000));
   const TimePoint arrival = Start + ms(2200);
   for (const FleetDatagram &it : announce(sender, Start + ms(1000)))
     if (it.To == Receiver)
@@ -83,7 +83,7 @@
   introduce(sender, receiver);
   for (int n = 1; n < 20; ++n) {
     const TimePoint sentAt = Start + ms(200 * n);
-    sender.didConfirm(sentAt);
+    sender.didConfirm(sentAt, sentAt);
     exchange(sender, receiver, announce(sender, sentAt), sentAt, delay);
     EXPECT_GE(receiver.freshness().age(sentAt + delay), std::min(delay, sentAt + delay - Start));
   }
@@ -96,7 +96,7 @@
   FleetReplica receiver = replicaOf(Receiver);
   introduce(sender, receiver);
   const TimePoint sentAt = receiver.freshness().questionDue();
-  sender.didConfirm(sentAt);
+  sender.didConfirm(sentAt, sentAt);
   exchange(sender, receiver, announce(sender, sentAt), sentAt, ms(1));
   EXPECT_LE(receiver.freshness().age(sentAt + ms(10)), ms(15));
 }
@@ -153,7 +153,7 @@
   const FreshnessLimits &limits = receiver.freshness().limits();
   const TimePoint answeredAt = Start + ms(100);
   reader.members().didReachStore(answeredAt);
-  reader.didConfirm(answeredAt);
+  reader.didConfirm(answeredAt, answeredAt);
   exchange(receiver, reader, announce(receiver, Start), Start, ms(1));
   exchange(reader, receiver, announce(reader, answeredAt), answeredAt, ms(1));
   const TimePoint now = answeredAt + limits.MaxAgeLimit;
@@ -178,4 +178,83 @@
   EXPECT_EQ(update.Outage, StoreOutage::Certain);
 }
 
+namespace {
+
+/// A VM that has just started, is refused by the store, and hears other VMs.
+class RestartedVm : public testing::Test {
+protected:
+  /// Another VM, which has missed all changes since `confirmedAt`, is heard and read from.
+  ReplicaUpdate readFromPeer(VmAddress peer, const StoreDelta &copy, TimePoint confirmedAt,
+                             TimePoint now) {
+    Replica.didReceive(heard(peer, copy.AsOf, confirmedAt), now);
+    return Replica.didReadPeer(copy, 0, peer, now);
+  }
+  FleetMessage heard(VmAddress peer, StoreRevision revision, TimePoint confirmedAt) {
+    FleetMessage message{
+        .Sender = {.Ip = peer, .DataCentre = "a", .Incarnation = 1, .Revision = revision}};
+    message.ReplicaConfirmedAt = ClockReading{
+        .Incarnation = 1,
+        .Ms = static_cast<std::uint64_t>(toMilliseconds(confirmedAt.time_since_epoch()))};
+    return message;
+  }
+  static std::vector<std::string> keysOf(const ReplicaUpdate &update) {
+    std::vector<std::string> keys;
+    for (const StoreItem &it : update.Changes)
+      keys.push_back(it.Key);
+    return keys;
+  }
+
+  const StoreDelta OldCopy{
+      .Items = {{.Key = "config", .Revision = 3}, {.Key = "u1", .Revision = 5}},
+      .IsComplete = true,
+      .AsOf = 7};
+  const StoreDelta LaterCopy{
+      .Items = {{.Key = "config", .Revision = 8}}, .IsComplete = true, .AsOf = 9};
+  static constexpr VmAddress Lagging = 0x0a000003U;
+  static constexpr VmAddress Current = 0x0a000004U;
+  FleetReplica Replica{FleetVm{.Ip = Receiver, .DataCentre = "a", .Incarnation = 1},
+                       {},
+                       FreshnessLimits::forChangeDeadline(std::chrono::seconds{2}),
+                       1,
+                       Start};
+};
+
+} // namespace
+
+// Guards against a restarted VM that uses an upstream which has left, or a configuration that was
+// replaced, because the first VM that it hears has missed that.
+TEST_F(RestartedVm, DoesNotUseTheCopyOfALaggingVm) {
+  EXPECT_TRUE(keysOf(readFromPeer(Lagging, OldCopy, Start - ms(5000), Start + ms(50))).empty());
+  EXPECT_TRUE(keysOf(Replica.tick(Start + ms(500))).empty());
+  // A VM that is ahead is heard; the read from it takes a while.
+  Replica.didReceive(heard(Current, 9, Start), Start + ms(900));
+  EXPECT_TRUE(keysOf(Replica.tick(Start + ms(1000))).empty());
+  EXPECT_EQ(keysOf(Replica.didReadPeer(LaterCopy, 0, Current, Start + ms(1100))),
+            std::vector<std::string>{"config"});
+}
+
+// Guards against VMs that wait for a store that is down before they serve again.
+TEST_F(RestartedVm, UsesTheLatestCopyThatCanBeHad) {
+  readFromPeer(Lagging, OldCopy, Start - ms(5000), Start + ms(50));
+  EXPECT_EQ(keysOf(Replica.tick(Start + ms(1000))), (std::vector<std::string>{"config", "u1"}));
+  EXPECT_TRUE(keysOf(Replica.tick(Start + ms(1500))).empty());
+}
+
+// Guards against VMs that serve late although the copy that they got is current.
+TEST_F(RestartedVm, UsesACurrentCopyAtOnce) {
+  const TimePoint now = Start + ms(50);
+  EXPECT_TRUE(keysOf(readFromPeer(Current, LaterCopy, now, now)).empty());
+  EXPECT_EQ(keysOf(Replica.didReceive(heard(Current, 9, now), now)),
+            std::vector<std::string>{"config"});
+  // Changes that follow are used at once.
+  const StoreDelta next{.Items = {{.Key = "u2", .Revision = 10}}, .AsOf = 10};
+  EXPECT_EQ(keysOf(Replica.didReadPeer(next, 9, Current, now)), std::vector<std::string>{"u2"});
+}
+
+// Guards against a VM that waits for other VMs although the store has answered it.
+TEST_F(RestartedVm, UsesWhatTheStoreAnswersAtOnce) {
+  EXPECT_EQ(keysOf(Replica.didReadStore(LaterCopy, 0, Start, Start + ms(20))),
+            std::vector<std::string>{"config"});
+}
+
 } // namespace wigeonlift
