LibFleet: Pass on only what the lead reader means to be passed on

Each message of the lead reader was passed on to a whole data centre, its gossip to a random VM too. That was needed only because a reader whose own calls keep its replica confirmed never asked a lead reader that doesn't know its clock. It asks at once now, and only announcements and answers are passed on.

--- a/Libraries/LibFleet/FleetMembership.cpp
+++ b/Libraries/LibFleet/FleetMembership.cpp
@@ -87,9 +87,7 @@
 
 FleetMessage FleetMembership::messageWithSelf(TimePoint now) const {
   return {.Sender = Self,
-          .SentAtMs = static_cast<std::uint64_t>(toMilliseconds(now.time_since_epoch())),
-          .ReplicaConfirmedAt = {},
-          .IsFromLeadReader = IsLead};
+          .SentAtMs = static_cast<std::uint64_t>(toMilliseconds(now.time_since_epoch()))};
 }
 
 FleetDatagram FleetMembership::addressTo(VmAddress to, FleetMessage message, TimePoint now) const {
@@ -121,7 +119,6 @@
 std::vector<FleetDatagram> FleetMembership::tick(TimePoint now, bool wantsNews) {
   ++TickCount;
   ++Self.HeartbeatCount;
-  IsLead = isLeadReader(now);
   Clocks.expire(now);
   std::erase_if(Peers, [&](const auto &it) { return now - it.second.HeardAt > ForgetAfter; });
   std::vector<FleetDatagram> datagrams;
@@ -171,9 +168,11 @@
                       now);
   if (message.Wanted == AnswerWanted::All || isNew)
     return {addressTo(sender, composeMessage(false, now), now)};
-  if (message.Wanted == AnswerWanted::Own)
-    return {addressTo(sender, messageWithSelf(now), now)};
-  return {};
+  if (message.Wanted == AnswerWanted::None)
+    return {};
+  FleetMessage answer = messageWithSelf(now);
+  answer.IsFromLeadReader = isLeadReader(now);
+  return {addressTo(sender, std::move(answer), now)};
 }
 
 std::optional<TimePoint> FleetMembership::toOwnTime(const std::optional<ClockReading> &reading,
@@ -202,12 +201,12 @@
 
 std::vector<FleetDatagram> FleetMembership::announce(bool isFromLeadReader, TimePoint now) {
   ++Self.HeartbeatCount;
-  IsLead = isLeadReader(now);
+  const bool isLead = isLeadReader(now);
   std::vector<VmAddress> receivers = localVms(now);
-  if (IsLead)
+  if (isLead)
     std::ranges::copy(remoteReaders(now), std::back_inserter(receivers));
   FleetMessage out = messageWithSelf(now);
-  out.IsFromLeadReader |= isFromLeadReader;
+  out.IsFromLeadReader = isLead || isFromLeadReader;
   return addressTo(receivers, out, now);
 }
 
--- a/Libraries/LibFleet/FleetMembership.h
+++ b/Libraries/LibFleet/FleetMembership.h
@@ -192,8 +192,6 @@
   /// When the store last answered a call, as far as known.
   std::optional<TimePoint> StoreReachedAt;
   std::optional<TimePoint> ReplicaConfirmedAt;
-  /// Whether this VM was the lead reader at the last tick or announcement.
-  bool IsLead = false;
   std::uint64_t TickCount = 0;
   /// Number of other VMs of the own data centre at the last tick, including those that are
   /// considered dead.
--- a/Libraries/LibFleet/FleetReplica.cpp
+++ b/Libraries/LibFleet/FleetReplica.cpp
@@ -90,22 +90,23 @@
     return;
   }
   // The sender may not know this VM's clock yet. The question shows it.
-  if (mayAsk(now)) {
-    AskedAt = now;
-    update.Datagrams.push_back(Members.ask(sender, now));
-  }
+  if (message.IsFromLeadReader || now >= Freshness.questionDue())
+    ask(sender, update, now);
 }
 
-bool FleetReplica::mayAsk(TimePoint now) const {
-  return now >= Freshness.questionDue() && now - AskedAt >= MinQuestionInterval;
+void FleetReplica::ask(VmAddress vm, ReplicaUpdate &update, TimePoint now) {
+  if (now - AskedAt < MinQuestionInterval)
+    return;
+  AskedAt = now;
+  update.Datagrams.push_back(Members.ask(vm, now));
 }
 
 void FleetReplica::askLeadReader(ReplicaUpdate &update, TimePoint now) {
-  const auto lead = Members.leadReader(now);
-  if (!mayAsk(now) || !Members.isReader(now) || !lead || *lead == Members.self().Ip)
+  if (now < Freshness.questionDue() || !Members.isReader(now))
     return;
-  AskedAt = now;
-  update.Datagrams.push_back(Members.ask(*lead, now));
+  const auto lead = Members.leadReader(now);
+  if (lead && *lead != Members.self().Ip)
+    ask(*lead, update, now);
 }
 
 bool FleetReplica::hasLeadReader(TimePoint now) const {
--- a/Libraries/LibFleet/FleetReplica.h
+++ b/Libraries/LibFleet/FleetReplica.h
@@ -71,8 +71,8 @@
   PropagationScope scopeOfChangesFrom(VmAddress peer) const;
   /// Adds the changes that a VM lacks to the answers to its question.
   void addMissingChanges(const FleetVm &asker, std::vector<FleetDatagram> &answers);
-  /// Whether this VM may ask another one because its replica should have been confirmed by now.
-  bool mayAsk(TimePoint now) const;
+  /// Adds a question to another VM, unless this VM has just asked.
+  void ask(VmAddress vm, ReplicaUpdate &update, TimePoint now);
   /// Other VMs miss the message of this reader, which may itself have missed the lead reader's.
   void askLeadReader(ReplicaUpdate &update, TimePoint now);
   void announce(ReplicaUpdate &update, bool isFromLeadReader, TimePoint now);
