--- /dev/null
+++ b/Tests/Platform/TestStoreClient.cpp
@@ -0,0 +1,75 @@
+#include <platform/Platform.h>
+
+#include <Tests/Support/FakeUpstream.h>
+
+#include <LibHttp/LibHttp.h>
+
+#include <boost/asio/co_spawn.hpp>
+
+#include <fmt/format.h>
+
+#include <gtest/gtest.h>
+
+#include <optional>
+
+namespace wigeonlift {
+
+namespace {
+
+namespace asio = boost::asio;
+
+FakeReply pageReply(std::string_view body) {
+  return {fmt::format("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                      "Content-Length: {}\r\n\r\n{}",
+                      body.size(), body)};
+}
+
+/// Reads all keys from a store that answers by a script.
+absl::StatusOr<StoreDelta> readAllFrom(const FakeUpstream::Script &script) {
+  asio::io_context context{1};
+  FakeUpstream store{context, script};
+  platform::StoreClient client{*parseEndpoint(store.address())};
+  std::optional<absl::StatusOr<StoreDelta>> result;
+  asio::co_spawn(context, client.readAll(std::chrono::seconds{2}),
+                 [&](const std::exception_ptr &, absl::StatusOr<StoreDelta> delta) {
+                   result = std::move(delta);
+                   context.stop();
+                 });
+  context.run_for(std::chrono::seconds{5});
+  return result.value_or(absl::InternalError("no result"));
+}
+
+} // namespace
+
+// Guards against pages that are lost, and against a copy that claims a later revision than that at
+// which its first page was read.
+TEST(StoreClient, ReadsAllPages) {
+  const auto delta = readAllFrom([](const std::string &request) {
+    return request.find("after=a") == std::string::npos
+               ? pageReply(
+                     R"({"items":[{"key":"a","value":"","revision":3}],"has-more":true,"as-of":7})")
+               : pageReply(
+                     R"({"items":[{"key":"b","value":"","revision":8}],"has-more":false,"as-of":9})");
+  });
+  ASSERT_TRUE(delta.ok()) << delta.status();
+  EXPECT_TRUE(delta->IsComplete);
+  EXPECT_EQ(delta->AsOf, 7U);
+  ASSERT_EQ(delta->Items.size(), 2U);
+  EXPECT_EQ(delta->Items[1].Key, "b");
+}
+
+// Guards against a copy that lacks keys and counts as complete: upstreams and the configuration
+// would be taken for removed.
+TEST(StoreClient, PagesThatDoNotAdvanceAreNoCompleteCopy) {
+  const std::string_view samePage =
+      R"({"items":[{"key":"a","value":"","revision":3}],"has-more":true,"as-of":7})";
+  EXPECT_FALSE(readAllFrom([&](const std::string &) { return pageReply(samePage); }).ok());
+  const std::string_view emptyPage = R"({"items":[],"has-more":true,"as-of":7})";
+  EXPECT_FALSE(readAllFrom([&](const std::string &) { return pageReply(emptyPage); }).ok());
+  EXPECT_FALSE(readAllFrom([&](const std::string &request) {
+                 return pageReply(request.find("after=a") == std::string::npos ? samePage
+                                                                               : emptyPage);
+               }).ok());
+}
+
+} // namespace wigeonlift
