LibDiscovery: Let only the running process end the grace period of its removal

An entry of an earlier process with the same id, which is ignored otherwise, ended the grace period of an upstream whose entry was removed; it then stayed in use for good. The new test failed before. Seen when the code was read; no run showed it.

--- a/Libraries/LibDiscovery/UpstreamList.cpp
+++ b/Libraries/LibDiscovery/UpstreamList.cpp
@@ -16,7 +16,6 @@
 } // namespace
 
 bool UpstreamList::didWrite(UpstreamRecord record, TimePoint) {
-  PendingRemovals.erase(record.Id);
   const auto it = Upstreams.find(record.Id);
   if (it == Upstreams.end()) {
     Upstreams.emplace(record.Id, std::move(record));
@@ -27,6 +26,7 @@
   // of the newer process.
   if (record.StartedAtMs < previous.StartedAtMs)
     return false;
+  PendingRemovals.erase(record.Id);
   previous.Warmup = record.Warmup;
   const bool hasChanged = previous != record;
   it->second = std::move(record);
--- a/Libraries/LibDiscovery/UpstreamList.h
+++ b/Libraries/LibDiscovery/UpstreamList.h
@@ -65,7 +65,7 @@
   explicit UpstreamList(Duration drainTimeout) : DrainTimeout(drainTimeout) {}
 
   /// An entry was written. Returns whether the list changed in anything but the remaining warm-up
-  /// time. An entry of an earlier process than the listed one only ends a grace period.
+  /// time. An entry of an earlier process than the listed one is ignored.
   bool didWrite(UpstreamRecord record, TimePoint now);
   /// An entry was removed or became unreadable. Returns whether the upstream left the list.
   bool didRemove(std::string_view id, const EntryRemoval &removal, TimePoint now);
--- a/Tests/LibDiscovery/TestUpstreamList.cpp
+++ b/Tests/LibDiscovery/TestUpstreamList.cpp
@@ -98,6 +98,17 @@
   EXPECT_EQ(list.usable("rankview")[0].StartedAtMs, 20U);
 }
 
+// Guards against an upstream that stays in use for good, because a late entry of its earlier process
+// ended the grace period of its removal.
+TEST(UpstreamList, EarlierIncarnationsDoNotEndAGracePeriod) {
+  UpstreamList list{DrainTimeout};
+  list.didWrite(record("x", 20), Start);
+  list.didRemove("x", {.Kind = RemovalKind::PossibleLeaseExpiry, .EarliestAt = Start}, Start);
+  EXPECT_FALSE(list.didWrite(record("x", 10), Start));
+  EXPECT_TRUE(list.applyDueRemovals(Start + DrainTimeout));
+  EXPECT_TRUE(list.usable("rankview").empty());
+}
+
 // Guards against an update on all VMs each time an upstream publishes its remaining warm-up time.
 TEST(UpstreamList, RemainingWarmUpIsNoChange) {
   UpstreamList list{DrainTimeout};
