LibTelemetry: Write only JSON numbers without quotes

Values such as -05, .5 and 5. were written as numbers, which JSON doesn't allow, so a parser rejects the whole line. The new test failed for -05, .5, 5. and -.5 before.

--- a/Libraries/LibTelemetry/EventLog.cpp
+++ b/Libraries/LibTelemetry/EventLog.cpp
@@ -38,11 +38,23 @@
   out += '"';
 }
 
+bool isDigits(std::string_view text) {
+  return !text.empty() && text.find_first_not_of("0123456789") == std::string_view::npos;
+}
+
+/// Whether a text is a number in JSON, without an exponent.
+bool isJsonNumber(std::string_view text) {
+  if (text.starts_with('-'))
+    text.remove_prefix(1);
+  const std::size_t point = text.find('.');
+  const std::string_view whole = text.substr(0, point);
+  const bool hasLeadingZero = whole.size() > 1 && whole.front() == '0';
+  return isDigits(whole) && !hasLeadingZero &&
+         (point == std::string_view::npos || isDigits(text.substr(point + 1)));
+}
+
 void appendJsonValue(std::string &out, std::string_view value) {
-  const bool mayBeNumber = !value.empty() &&
-                           (value == "0" || value.front() != '0' || value.starts_with("0.")) &&
-                           value.find_first_not_of("0123456789.-") == std::string_view::npos;
-  if (mayBeNumber && parseNumber<double>(value))
+  if (isJsonNumber(value))
     out += value;
   else
     appendJsonString(out, value);
--- a/Tests/LibDiscovery/TestUpstreamList.cpp
+++ b/Tests/LibDiscovery/TestUpstreamList.cpp
@@ -98,8 +98,8 @@
   EXPECT_EQ(list.usable("rankview")[0].StartedAtMs, 20U);
 }
 
-// Guards against an upstream that stays in use for good, because a late entry of its earlier process
-// ended the grace period of its removal.
+// Guards against an upstream that stays in use for good, because a late entry of its earlier
+// process ended the grace period of its removal.
 TEST(UpstreamList, EarlierIncarnationsDoNotEndAGracePeriod) {
   UpstreamList list{DrainTimeout};
   list.didWrite(record("x", 20), Start);
--- a/Tests/LibTelemetry/TestEventLog.cpp
+++ b/Tests/LibTelemetry/TestEventLog.cpp
@@ -1,5 +1,7 @@
 #include <LibTelemetry/LibTelemetry.h>
 
+#include <fmt/format.h>
+
 #include <gtest/gtest.h>
 
 #include <array>
@@ -34,6 +36,14 @@
   std::array<int, 2> Ends{};
 };
 
+std::string lineWith(std::string_view value) {
+  const Pipe pipe;
+  EventLog log{pipe.writeEnd(), "vm"};
+  log.write(EventLog::Priority::Important, "event", {{"x", std::string{value}}});
+  log.flush();
+  return pipe.readAvailable();
+}
+
 } // namespace
 
 // Guards against blocking on a standard output that nobody reads, against a buffer that then grows
@@ -68,6 +78,15 @@
   EXPECT_EQ(log.dropped(), dropped);
 }
 
+// Guards against values that look like numbers but are none in JSON, so that no parser reads the
+// line.
+TEST(EventLog, WritesOnlyJsonNumbersWithoutQuotes) {
+  for (const std::string_view number : {"0", "-7", "12.50", "-0.5"})
+    EXPECT_NE(lineWith(number).find(fmt::format(R"("x":{})", number)), std::string::npos) << number;
+  for (const std::string_view text : {"", "-", "-05", "05", ".5", "5.", "-.5", "1.2.3", "1-2"})
+    EXPECT_NE(lineWith(text).find(fmt::format(R"("x":"{}")", text)), std::string::npos) << text;
+}
+
 // Guards against field values that make a line invalid JSON.
 TEST(EventLog, EscapesValues) {
   const Pipe pipe;
