Gateway: Read and log the rate limits that upstreams name

Nothing read Server-Limit, so logs couldn't tell whether VMs know of a limit when they send. The header is decoded in platform/, with values that can't be read told apart from its absence, and what follows is logged: limit_named, limit_ended, limit_unreadable, each request to such an upstream, and two figures for a service. It changes no decision yet. Only answers that are certainly the upstream's own count.

--- a/Libraries/LibBalance/Placement.cpp
+++ b/Libraries/LibBalance/Placement.cpp
@@ -214,10 +214,12 @@
                     .ReportAge = view.reportAge(now),
                     .Waited = now - request.Spec.ArrivedAt,
                     .Attempt = static_cast<int>(request.TriedUpstreams.size()) + 1,
-                    .IsHedge = attempt.IsHedge};
+                    .IsHedge = attempt.IsHedge,
+                    .RateLimit = Limits.requestsPerSecond(attempt.Upstream)};
   ++Counts.Attempts;
   Counts.Hedges += attempt.IsHedge ? 1 : 0;
   Counts.SentToSlow += attempt.Slowness > GoodCostFactor ? 1 : 0;
+  Counts.SentToLimited += attempt.Choice.RateLimit ? 1 : 0;
   Counts.SentToOtherDataCentre += view.info().IsInLocalDataCentre ? 0 : 1;
   view.didSend(id, now);
   request.TriedUpstreams.push_back(attempt.Upstream);
--- a/Libraries/LibBalance/ServiceBalancer.cpp
+++ b/Libraries/LibBalance/ServiceBalancer.cpp
@@ -31,7 +31,12 @@
       view->second.setInfo(it);
   }
   // Attempts that are running at a removed upstream continue.
-  std::erase_if(Upstreams, [&](const auto &it) { return !listed.contains(it.first); });
+  std::erase_if(Upstreams, [&](const auto &it) {
+    if (listed.contains(it.first))
+      return false;
+    Limits.forget(it.first);
+    return true;
+  });
   dispatchQueue(now, out);
 }
 
@@ -98,6 +103,10 @@
   dispatchQueue(now, out);
 }
 
+bool ServiceBalancer::noticeReceived(UpstreamIndex upstream, const UpstreamNotice &notice) {
+  return findUpstream(upstream) && Limits.didReport(upstream, notice.RateLimit);
+}
+
 void ServiceBalancer::didPause() {
   for (auto &[index, view] : Upstreams)
     view.clearReport();
--- a/Libraries/LibBalance/ServiceBalancer.h
+++ b/Libraries/LibBalance/ServiceBalancer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBalance/BalanceTypes.h>
+#include <LibBalance/UpstreamLimits.h>
 #include <LibBalance/UpstreamView.h>
 #include <LibBalance/WorkEstimate.h>
 
@@ -36,6 +37,8 @@
   std::uint64_t SentToSlow = 0;
   /// Attempts placed on an upstream in another data centre.
   std::uint64_t SentToOtherDataCentre = 0;
+  /// Attempts placed on an upstream that names a rate limit.
+  std::uint64_t SentToLimited = 0;
 };
 
 /// The state on which the choice of an upstream for an attempt was based, for logs.
@@ -51,6 +54,8 @@
   /// Number of the attempt among those of its request, from 1.
   int Attempt = 1;
   bool IsHedge = false;
+  /// Requests per second that the upstream accepts from the fleet; empty if it names no limit.
+  std::optional<double> RateLimit{};
 };
 
 /// Selects the upstream for each request of a service, decides when a request is retried, hedged or
@@ -87,6 +92,9 @@
 
   void probeAnswered(ProbeId id, const LoadReport &report, TimePoint now, BalanceCommands &out);
   void probeFailed(ProbeId id, TimePoint now, BalanceCommands &out);
+  /// Any response of an upstream arrived. Called before the event that the response belongs to.
+  /// Returns whether the rate limit of the upstream changed.
+  bool noticeReceived(UpstreamIndex upstream, const UpstreamNotice &notice);
   /// Discards the load reports from before a pause of this process, as they are out of date.
   void didPause();
 
@@ -94,6 +102,7 @@
   std::optional<TimePoint> nextWakeup() const;
 
   const BalanceCounts &counts() const { return Counts; }
+  const UpstreamLimits &limits() const { return Limits; }
   std::optional<ChoiceInfo> choice(AttemptId id) const;
   Duration meanWorkTime() const { return WorkTimes.mean(); }
   double typicalSlowness() const { return TypicalSlowness; }
@@ -198,6 +207,7 @@
 
   Random Rng;
   std::map<UpstreamIndex, UpstreamView> Upstreams;
+  UpstreamLimits Limits;
   std::map<CallId, Request> Requests;
   std::set<CallId> Queue;
   std::map<AttemptId, Attempt> Attempts;
--- a/Libraries/LibBase/LibBase.h
+++ b/Libraries/LibBase/LibBase.h
@@ -7,3 +7,4 @@
 #include <LibBase/Random.h>
 #include <LibBase/Text.h>
 #include <LibBase/Time.h>
+#include <LibBase/UpstreamNotice.h>
--- /dev/null
+++ b/Libraries/LibBase/UpstreamNotice.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cstdint>
+
+namespace wigeonlift {
+
+/// What a response says about how many requests per second its upstream accepts.
+struct RateLimitReport {
+  enum class Content : std::uint8_t {
+    Unusable,  ///< A value that can't be read; what was known before remains true.
+    Unlimited, ///< The response names no limit, so none is in force.
+    Limited,
+  };
+  Content Kind = Content::Unusable;
+  /// From all VMs together, as long as the responses name this limit.
+  double RequestsPerSecond = 0;
+
+  bool operator==(const RateLimitReport &) const = default;
+};
+
+/// What an upstream says in any response about the requests that it wants, apart from its load.
+struct UpstreamNotice {
+  RateLimitReport RateLimit;
+
+  bool operator==(const UpstreamNotice &) const = default;
+};
+
+} // namespace wigeonlift
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -199,6 +199,8 @@
              {"repeats_denied", number(counts.RetriesDenied)},
              {"to_slow", number(counts.SentToSlow)},
              {"far", number(counts.SentToOtherDataCentre)},
+             {"to_limited", number(counts.SentToLimited)},
+             {"limited", number(task.balancer().limits().size())},
              {"queued", number(task.balancer().queuedRequests())},
              {"work_ms", fmt::format("{:.1f}", toSeconds(task.balancer().meanWorkTime()) * 1e3)},
              {"slow", fmt::format("{:.2f}", task.balancer().typicalSlowness())},
--- a/Services/Gateway/RequestLog.cpp
+++ b/Services/Gateway/RequestLog.cpp
@@ -21,7 +21,7 @@
                          const ChoiceInfo &choice) {
   // The first attempt of most requests is told with the answer.
   const bool isPlain = choice.Attempt == 1 && choice.Slowness <= UsualSlowness &&
-                       choice.OutstandingRequests < choice.Slots;
+                       choice.OutstandingRequests < choice.Slots && !choice.RateLimit;
   if (isPlain)
     return;
   Log.write(EventLog::Priority::Routine, choice.IsHedge ? "hedged" : "sent",
@@ -31,6 +31,7 @@
              {"n", fmt::format("{}", choice.Attempt)},
              {"busy", fmt::format("{}/{}", choice.OutstandingRequests, choice.Slots)},
              {"slow", fmt::format("{:.2f}", choice.Slowness)},
+             {"limit", fmt::format("{:.3f}", choice.RateLimit.value_or(0))},
              {"age_ms", ms(choice.ReportAge)},
              {"waited_ms", ms(choice.Waited)}});
 }
@@ -91,4 +92,16 @@
              {"plan", fmt::format("{}", planVersion)}});
 }
 
+void RequestLog::didReportRateLimit(std::string_view service, std::string_view upstream,
+                                    const RateLimitReport &report) {
+  using Content = RateLimitReport::Content;
+  const std::string_view event = report.Kind == Content::Limited     ? "limit_named"
+                                 : report.Kind == Content::Unlimited ? "limit_ended"
+                                                                     : "limit_unreadable";
+  Log.write(EventLog::Priority::Important, event,
+            {{"svc", std::string{service}},
+             {"up", std::string{upstream}},
+             {"per_s", fmt::format("{:.3f}", report.RequestsPerSecond)}});
+}
+
 } // namespace wigeonlift
--- a/Services/Gateway/RequestLog.h
+++ b/Services/Gateway/RequestLog.h
@@ -22,6 +22,10 @@
   void didReject(std::string_view id, std::string_view host, std::string_view target, int status,
                  std::string_view why, std::uint64_t planVersion);
 
+  /// An upstream has changed the rate limit that it names, or names one that can't be read.
+  void didReportRateLimit(std::string_view service, std::string_view upstream,
+                          const RateLimitReport &report);
+
 private:
   EventLog &Log;
 };
--- a/Services/Gateway/ServiceTask.cpp
+++ b/Services/Gateway/ServiceTask.cpp
@@ -2,6 +2,8 @@
 
 #include "UpstreamExchange.h"
 
+#include <platform/Platform.h>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -155,6 +157,13 @@
   execute(out);
 }
 
+void ServiceTask::didReadHead(const KnownUpstream &upstream, const HttpResponseHead &head) {
+  const UpstreamNotice notice = platform::parseUpstreamNotice(head);
+  const bool hasChanged = Balancer.noticeReceived(upstream.Index, notice);
+  if (hasChanged || notice.RateLimit.Kind == RateLimitReport::Content::Unusable)
+    Log.didReportRateLimit(Name, upstream.Record.Id, notice.RateLimit);
+}
+
 void ServiceTask::probeAnswered(ProbeId id, const LoadReport &report) {
   BalanceCommands out;
   Balancer.probeAnswered(id, report, bootTimeNow(), out);
--- a/Services/Gateway/ServiceTask.h
+++ b/Services/Gateway/ServiceTask.h
@@ -62,6 +62,8 @@
   bool maySend(const RunningAttempt &attempt);
   ResponseAction didAnswer(const RunningAttempt &attempt, const ResponseInfo &facts);
   void attemptFailed(const RunningAttempt &attempt, AttemptStage stage, std::string_view what);
+  /// The head of any response arrived that is certainly the upstream's own.
+  void didReadHead(const KnownUpstream &upstream, const HttpResponseHead &head);
   void probeAnswered(ProbeId id, const LoadReport &report);
   void probeFailed(ProbeId id);
   RequestLog &log() { return Log; }
--- a/Services/Gateway/UpstreamExchange.cpp
+++ b/Services/Gateway/UpstreamExchange.cpp
@@ -134,6 +134,9 @@
   if (!head)
     co_return service->attemptFailed(*attempt, AttemptStage::Sent,
                                      sawForeign ? "foreign answer, then none" : "no answer");
+  // A rejection with this status may come from another upstream that has the address by now.
+  if (isOwnAnswer(*head, *request) && head->result_int() != Misdirected)
+    service->didReadHead(*attempt->Upstream, *head);
   std::string body;
   const BodyEnd end = co_await readBody(*connection, body, request->MaxHeldBytes);
   if (attempt->IsAbandoned)
@@ -212,6 +215,8 @@
   const auto load = platform::parseLoadReport(headerValue(*head, platform::UpstreamLoadHeader));
   std::string body;
   const BodyEnd end = co_await readBody(*connection, body, MaxDroppedBytes);
+  if (isSame)
+    service->didReadHead(*upstream, *head);
   if (!isSame || !load || end != BodyEnd::Whole)
     co_return service->probeFailed(probe);
   lease.giveBack();
--- a/Tests/Platform/TestPlatform.cpp
+++ b/Tests/Platform/TestPlatform.cpp
@@ -28,6 +28,27 @@
     EXPECT_FALSE(platform::parseLoadReport(text)) << text;
 }
 
+// Guards against a rate limit that is not read, and against a value that can't be read but is taken
+// for a limit, or for the end of one.
+TEST(WireFormat, ParsesRateLimits) {
+  using Content = RateLimitReport::Content;
+  const auto parse = [](const std::vector<std::string> &values) {
+    boost::beast::http::fields head;
+    for (const std::string &it : values)
+      head.insert("server-limit", it);
+    return platform::parseUpstreamNotice(head).RateLimit;
+  };
+  EXPECT_EQ(parse({}).Kind, Content::Unlimited);
+  EXPECT_EQ(parse({"2.4"}), (RateLimitReport{.Kind = Content::Limited, .RequestsPerSecond = 2.4}));
+  EXPECT_EQ(parse({"100"}).RequestsPerSecond, 100);
+  EXPECT_EQ(parse({"0"}), (RateLimitReport{.Kind = Content::Limited, .RequestsPerSecond = 0}));
+  for (const auto &text :
+       std::vector<std::string>{"", "-1", "-0.5", "inf", "-inf", "nan", "many", "2,4", "2.4/s",
+                                "0x10", "1e400", "1" + std::string(400, '0')})
+    EXPECT_EQ(parse({text}).Kind, Content::Unusable) << text;
+  EXPECT_EQ(parse({"1", "2"}).Kind, Content::Unusable);
+}
+
 // Guards against calls to an upstream whose record has a missing or invalid field.
 TEST(UpstreamCodec, RejectsInvalidRecords) {
   const std::string good =
