Tests: Show that upstreams get more requests than the limit that they name

A seeded model without network: VMs with the code that decides what is sent where and who belongs to the fleet, upstreams that name limits of 0.1 to 100 a second at different times, change and end them, and VMs that lose power, freeze, are cut off and come back. The bound is that of the rule, counted for all VMs without a recent fault, whether they know of the limit or not.

--- /dev/null
+++ b/Tests/LibBalance/LimitedFleet.cpp
@@ -0,0 +1,360 @@
+#include <Tests/LibBalance/LimitedFleet.h>
+
+#include <algorithm>
+#include <cmath>
+#include <sstream>
+
+namespace wigeonlift::test {
+
+namespace {
+
+constexpr Duration ms(int n) { return std::chrono::milliseconds{n}; }
+
+constexpr TimePoint Begin{std::chrono::seconds{1000}};
+// VMs know each other by then, and know how long work takes.
+constexpr TimePoint LimitsFrom = Begin + std::chrono::seconds{8};
+constexpr TimePoint End = Begin + std::chrono::seconds{28};
+constexpr VmAddress FirstAddress = 0x0a000001U;
+constexpr int Slots = 3;
+constexpr Duration WorkTime = ms(60);
+constexpr Duration TargetLatency = ms(400);
+constexpr Duration TimeToDeadline = ms(1600);
+constexpr Duration MaxTimerDelay = ms(20);
+constexpr double DatagramLoss = 0.01;
+
+// The rule that upstreams rely on.
+constexpr Duration SettleTime = std::chrono::seconds{3};
+constexpr Duration Window = std::chrono::seconds{4};
+constexpr double AllowedFactor = 1.5;
+constexpr int AllowedExtra = 5;
+
+int indexOf(UpstreamIndex index) { return static_cast<int>(index.Value); }
+
+} // namespace
+
+LimitedFleet::LimitedFleet(LimitedFleetOptions options, std::uint64_t seed)
+    : Options(options), Rng(seed), Now(Begin) {
+  Upstreams.resize(static_cast<std::size_t>(options.Upstreams));
+  for (int n = 0; n < options.Vms; ++n) {
+    Vms.push_back(std::make_unique<Vm>());
+    Vms.back()->Index = n;
+  }
+}
+
+double LimitedFleet::allowed() const {
+  double sum = 0;
+  for (const Upstream &upstream : Upstreams)
+    for (const LimitSpan &it : upstream.Limits)
+      sum += it.RequestsPerSecond * toSeconds(std::min(it.End, End) - it.Begin);
+  return sum;
+}
+
+Duration LimitedFleet::between(Duration least, Duration most) {
+  return least + fromSeconds(toSeconds(most - least) * Rng.unit());
+}
+
+void LimitedFleet::at(TimePoint time, std::function<void()> run) {
+  Events.push({.At = time, .Sequence = ++EventCount, .Run = std::move(run)});
+}
+
+void LimitedFleet::inVm(Vm &vm, Duration delay, std::function<void()> run) {
+  const int generation = vm.Generation;
+  at(Now + delay, [this, &vm, generation, run = std::move(run)] {
+    if (vm.Generation != generation || !vm.isRunning())
+      return;
+    if (!vm.IsFrozen)
+      return run();
+    vm.Deferred.emplace_back([&vm, generation, run] {
+      if (vm.Generation == generation)
+        run();
+    });
+  });
+}
+
+std::vector<std::string> LimitedFleet::run() {
+  planLimits();
+  for (const auto &it : Vms)
+    at(Begin + between(Duration::zero(), ms(300)), [this, vm = it.get()] { start(*vm); });
+  if (Options.HasFaults)
+    planFaults();
+  at(Begin + ms(500), [this] { arrive(); });
+  while (!Events.empty() && Events.top().At < End) {
+    const Event event = Events.top();
+    Events.pop();
+    Now = event.At;
+    event.Run();
+  }
+  std::vector<std::string> violations;
+  for (int n = 0; n < Options.Upstreams; ++n)
+    check(n, violations);
+  return violations;
+}
+
+void LimitedFleet::planLimits() {
+  const bool isTogether = chance(0.5);
+  const TimePoint together = LimitsFrom + between(Duration::zero(), ms(2000));
+  for (Upstream &it : Upstreams) {
+    it.FailureRatio = chance(0.3) ? 0.2 : 0;
+    if (!chance(Options.LimitedFraction))
+      continue;
+    TimePoint begin = isTogether ? together : LimitsFrom + between(Duration::zero(), ms(8000));
+    while (begin < End) {
+      const Duration length = chance(0.5) ? End - begin : between(ms(1000), ms(10'000));
+      const double limit =
+          Options.MinLimit * std::pow(Options.MaxLimit / Options.MinLimit, Rng.unit());
+      it.Limits.push_back({.Begin = begin, .End = begin + length, .RequestsPerSecond = limit});
+      begin += length + (chance(0.5) ? Duration::zero() : between(ms(500), ms(4000)));
+    }
+  }
+}
+
+void LimitedFleet::planFaults() {
+  for (TimePoint time = LimitsFrom; time < End; time += between(ms(500), ms(4000))) {
+    const double part = chance(0.3) ? 0.6 : 0.15;
+    const auto kind = Rng.below(4);
+    const Duration length = between(ms(300), ms(6000));
+    for (const auto &it : Vms) {
+      Vm &vm = *it;
+      if (!chance(part))
+        continue;
+      at(time + between(Duration::zero(), ms(50)), [this, &vm, kind, length] {
+        if (!vm.isRunning() || vm.IsCut || vm.IsFrozen)
+          return;
+        if (kind == 0)
+          losePower(vm, length);
+        else if (kind == 1)
+          freeze(vm, length);
+        else
+          cut(vm, length);
+      });
+    }
+  }
+}
+
+void LimitedFleet::start(Vm &vm) {
+  ++vm.Generation;
+  const auto seed = Rng.below(UINT32_MAX);
+  const FleetVm self{.Ip = FirstAddress + static_cast<VmAddress>(vm.Index),
+                     .DataCentre =
+                         std::string(1, static_cast<char>('a' + vm.Index % Options.DataCentres)),
+                     .Incarnation = static_cast<std::uint64_t>(vm.Generation),
+                     .Weight = vm.Index % 3 == 0 ? 200U : 100U};
+  vm.Members = std::make_unique<FleetMembership>(
+      self, std::vector<VmAddress>{FirstAddress, FirstAddress + 1, FirstAddress + 2}, seed, Now);
+  vm.Members->setReady(true);
+  vm.Balancer = std::make_unique<ServiceBalancer>(seed, Now - std::chrono::minutes{1});
+  vm.Balancer->setRetryBudget(0.2, 20, std::chrono::seconds{10});
+  vm.Balancer->setProbeRate(1000, Now);
+  vm.WakeupAt.reset();
+  vm.Deferred.clear();
+  vm.Objectives.clear();
+  std::vector<UpstreamInfo> infos;
+  for (int n = 0; n < Options.Upstreams; ++n)
+    infos.push_back(
+        {.Index = UpstreamIndex{static_cast<std::uint32_t>(n)},
+         .IsInLocalDataCentre = n % Options.DataCentres == vm.Index % Options.DataCentres,
+         .Slots = Slots});
+  BalanceCommands out;
+  vm.Balancer->setUpstreams(infos, Now, out);
+  gossip(vm);
+}
+
+void LimitedFleet::end(Vm &vm) {
+  ++vm.Generation;
+  vm.Balancer.reset();
+  vm.Members.reset();
+}
+
+void LimitedFleet::losePower(Vm &vm, Duration length) {
+  vm.Excuses.emplace_back(Now, Now + length + SettleTime);
+  end(vm);
+  at(Now + length, [this, &vm] { start(vm); });
+}
+
+void LimitedFleet::freeze(Vm &vm, Duration length) {
+  vm.Excuses.emplace_back(Now, Now + length + SettleTime);
+  vm.IsFrozen = true;
+  at(Now + length, [&vm] {
+    vm.IsFrozen = false;
+    for (const auto &it : std::exchange(vm.Deferred, {}))
+      it();
+  });
+}
+
+void LimitedFleet::cut(Vm &vm, Duration length) {
+  vm.Excuses.emplace_back(Now, Now + length + SettleTime);
+  vm.IsCut = true;
+  at(Now + length, [&vm] { vm.IsCut = false; });
+}
+
+void LimitedFleet::gossip(Vm &vm) {
+  send(vm, vm.Members->tick(Now));
+  inVm(vm, FleetMembership::GossipInterval + between(Duration::zero(), MaxTimerDelay),
+       [this, &vm] { gossip(vm); });
+}
+
+void LimitedFleet::send(Vm &from, const std::vector<FleetDatagram> &datagrams) {
+  for (const FleetDatagram &it : datagrams) {
+    if (it.To - FirstAddress >= Vms.size())
+      continue;
+    Vm &to = *Vms[it.To - FirstAddress];
+    if (!to.isRunning() || from.IsCut || to.IsCut || chance(DatagramLoss))
+      continue;
+    inVm(to, between(std::chrono::microseconds{300}, ms(3)),
+         [this, &to, message = it.Message] { send(to, to.Members->didReceive(message, Now)); });
+  }
+}
+
+void LimitedFleet::arrive() {
+  at(Now + fromSeconds(-std::log(1 - Rng.unit()) / Options.RequestsPerSecond),
+     [this] { arrive(); });
+  Vm &vm = *Vms[Rng.below(Vms.size())];
+  if (!vm.isRunning() || vm.IsFrozen)
+    return;
+  const CallId id{++LastCall};
+  const bool isIdempotent = chance(0.7);
+  ++Requests;
+  vm.Objectives[id] = Now + TargetLatency;
+  BalanceCommands out;
+  vm.Balancer->requestArrived(
+      {.Id = id,
+       .Class = isIdempotent ? CallClass::Idempotent : CallClass::NonIdempotent,
+       .Kind = 1,
+       .ArrivedAt = Now,
+       .TargetLatency = TargetLatency,
+       .Objective = Now + TargetLatency,
+       .Deadline = Now + TimeToDeadline,
+       .Priority = isIdempotent ? 1 : 0,
+       .MaxAttempts = 3},
+      Now, out);
+  execute(vm, out);
+}
+
+void LimitedFleet::execute(Vm &vm, const BalanceCommands &commands) {
+  for (const BalanceCommand &it : commands) {
+    if (const auto *send = std::get_if<SendRequest>(&it))
+      sendRequest(vm, *send);
+    else if (const auto *probe = std::get_if<SendProbe>(&it))
+      sendProbe(vm, *probe);
+    else if (const auto *refusal = std::get_if<RefuseRequest>(&it))
+      RefusedEarly += Now + WorkTime < vm.Objectives[refusal->Call] ? 1 : 0;
+  }
+  armWakeup(vm);
+}
+
+void LimitedFleet::sendRequest(Vm &vm, const SendRequest &command) {
+  // Opening a connection takes a while at times.
+  const Duration connecting = chance(0.05) ? between(ms(1), ms(150)) : Duration::zero();
+  inVm(vm, connecting, [this, &vm, command] {
+    BalanceCommands out;
+    const bool may = vm.Balancer->maySend(command.Attempt, Now, out);
+    execute(vm, out);
+    if (may)
+      inVm(vm, ms(1), [this, &vm, command] { serve(vm, command); });
+  });
+}
+
+void LimitedFleet::serve(Vm &vm, const SendRequest &command) {
+  const int index = indexOf(command.Upstream);
+  Upstream &upstream = Upstreams[static_cast<std::size_t>(index)];
+  upstream.Arrivals.push_back({.At = Now, .Vm = vm.Index});
+  ++upstream.Running;
+  const Duration work = WorkTime * (chance(0.05) ? 6 : 1);
+  at(Now + work, [&upstream] { --upstream.Running; });
+  inVm(vm, work, [this, &vm, command] { answer(vm, command); });
+}
+
+void LimitedFleet::answer(Vm &vm, const SendRequest &command) {
+  const int index = indexOf(command.Upstream);
+  const Upstream &upstream = Upstreams[static_cast<std::size_t>(index)];
+  vm.Balancer->noticeReceived(command.Upstream, noticeOf(index));
+  const bool isFailure = chance(upstream.FailureRatio);
+  const ResponseKind kind =
+      isFailure ? (chance(0.5) ? ResponseKind::NotRun : ResponseKind::UpstreamFailure)
+                : ResponseKind::Success;
+  Served += !isFailure && Now >= LimitsFrom ? 1 : 0;
+  BalanceCommands out;
+  vm.Balancer->responseReceived(command.Attempt, {.Kind = kind, .Load = loadOf(index)}, Now, out);
+  execute(vm, out);
+}
+
+void LimitedFleet::sendProbe(Vm &vm, const SendProbe &command) {
+  HealthChecks += Now >= LimitsFrom ? 1 : 0;
+  inVm(vm, ms(2), [this, &vm, command] {
+    const int index = indexOf(command.Upstream);
+    vm.Balancer->noticeReceived(command.Upstream, noticeOf(index));
+    BalanceCommands out;
+    vm.Balancer->probeAnswered(command.Probe, loadOf(index), Now, out);
+    execute(vm, out);
+  });
+}
+
+void LimitedFleet::armWakeup(Vm &vm) {
+  const auto next = vm.Balancer->nextWakeup();
+  if (!next || (vm.WakeupAt && *vm.WakeupAt <= *next && *vm.WakeupAt > Now))
+    return;
+  vm.WakeupAt = std::max(*next, Now + std::chrono::microseconds{100});
+  inVm(vm, *vm.WakeupAt - Now, [this, &vm, due = *vm.WakeupAt] {
+    if (vm.WakeupAt != due)
+      return;
+    vm.WakeupAt.reset();
+    BalanceCommands out;
+    vm.Balancer->tick(Now, out);
+    execute(vm, out);
+  });
+}
+
+const LimitedFleet::LimitSpan *LimitedFleet::limitAt(const Upstream &upstream,
+                                                     TimePoint time) const {
+  const auto it = std::ranges::find_if(upstream.Limits, [&](const LimitSpan &span) {
+    return time >= span.Begin && time < span.End;
+  });
+  return it == upstream.Limits.end() ? nullptr : &*it;
+}
+
+UpstreamNotice LimitedFleet::noticeOf(int upstream) const {
+  using Content = RateLimitReport::Content;
+  const LimitSpan *limit = limitAt(Upstreams[static_cast<std::size_t>(upstream)], Now);
+  if (!limit)
+    return {.RateLimit = {.Kind = Content::Unlimited}};
+  return {.RateLimit = {.Kind = Content::Limited, .RequestsPerSecond = limit->RequestsPerSecond}};
+}
+
+LoadReport LimitedFleet::loadOf(int upstream) const {
+  const Upstream &it = Upstreams[static_cast<std::size_t>(upstream)];
+  return {.InFlight = std::min(it.Running, Slots),
+          .Queued = std::max(0, it.Running - Slots),
+          .Slots = Slots};
+}
+
+bool LimitedFleet::isExcused(const Arrival &arrival) const {
+  const auto &excuses = Vms[static_cast<std::size_t>(arrival.Vm)]->Excuses;
+  return std::ranges::any_of(
+      excuses, [&](const auto &it) { return arrival.At >= it.first && arrival.At < it.second; });
+}
+
+void LimitedFleet::check(int upstream, std::vector<std::string> &violations) const {
+  const Upstream &it = Upstreams[static_cast<std::size_t>(upstream)];
+  std::vector<TimePoint> counted;
+  for (const Arrival &arrival : it.Arrivals)
+    if (!isExcused(arrival))
+      counted.push_back(arrival.At);
+  for (const LimitSpan &span : it.Limits) {
+    // Each change of the limit counts like a new one, since VMs learn of it one after the other.
+    const TimePoint from = span.Begin + SettleTime;
+    const double most = AllowedFactor * span.RequestsPerSecond * toSeconds(Window) + AllowedExtra;
+    for (auto first = std::ranges::lower_bound(counted, from);
+         first != counted.end() && *first + Window <= span.End; ++first) {
+      const auto last = std::ranges::lower_bound(counted, *first + Window);
+      if (static_cast<double>(last - first) <= most)
+        continue;
+      std::ostringstream line;
+      line << "upstream " << upstream << ": " << last - first << " requests in 4 s from "
+           << toSeconds(*first - Begin) << " s, limit " << span.RequestsPerSecond << " a second";
+      violations.push_back(line.str());
+      break;
+    }
+  }
+}
+
+} // namespace wigeonlift::test
--- /dev/null
+++ b/Tests/LibBalance/LimitedFleet.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include <LibBalance/LibBalance.h>
+#include <LibFleet/LibFleet.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <string>
+#include <vector>
+
+namespace wigeonlift::test {
+
+struct LimitedFleetOptions {
+  int Vms = 12;
+  int DataCentres = 3;
+  int Upstreams = 12;
+  /// Of the upstreams, how many name a limit at some time.
+  double LimitedFraction = 0.7;
+  double MinLimit = 0.1;
+  double MaxLimit = 100;
+  double RequestsPerSecond = 60;
+  /// Whether VMs lose power, stop as planned, freeze, are cut off from the others, and join.
+  bool HasFaults = true;
+};
+
+/// A fleet of VMs whose callers send requests to upstreams that name rate limits. VMs and upstreams
+/// are connected by a simulated network; one seed gives one run. Upstreams name their limits at
+/// different times, change and end them, fail requests, and answer some slowly.
+///
+/// Each VM runs the code that decides what it sends to which upstream, and exchanges states with
+/// other VMs. VMs lose power, freeze, are cut off from each other, and join.
+class LimitedFleet {
+public:
+  LimitedFleet(LimitedFleetOptions options, std::uint64_t seed);
+
+  /// Simulates the whole run. Returns a line for each limit of an upstream that got more requests
+  /// than the rule allows, from VMs without a recent fault.
+  std::vector<std::string> run();
+  /// Requests that were answered with success in the time in which upstreams name limits.
+  int served() const { return Served; }
+  /// What all limits together allowed in that time.
+  double allowed() const;
+  /// Requests that were refused while they could still have met their objective.
+  int refusedEarly() const { return RefusedEarly; }
+  int requests() const { return Requests; }
+  int healthChecks() const { return HealthChecks; }
+
+private:
+  struct LimitSpan {
+    TimePoint Begin;
+    TimePoint End;
+    double RequestsPerSecond = 0;
+  };
+  struct Arrival {
+    TimePoint At;
+    int Vm = 0;
+  };
+  struct Upstream {
+    std::vector<LimitSpan> Limits;
+    std::vector<Arrival> Arrivals;
+    int Running = 0;
+    double FailureRatio = 0;
+  };
+  struct Vm {
+    int Index = 0;
+    /// Counts starts and ends, so that events of an earlier process are recognized.
+    int Generation = 0;
+    std::unique_ptr<FleetMembership> Members;
+    std::unique_ptr<ServiceBalancer> Balancer;
+    bool IsCut = false;
+    bool IsFrozen = false;
+    std::vector<std::function<void()>> Deferred;
+    std::optional<TimePoint> WakeupAt;
+    std::map<CallId, TimePoint> Objectives;
+    /// Spans in which faults of the VM excuse it.
+    std::vector<std::pair<TimePoint, TimePoint>> Excuses;
+
+    bool isRunning() const { return Balancer != nullptr; }
+  };
+  struct Event {
+    TimePoint At;
+    std::uint64_t Sequence;
+    std::function<void()> Run;
+    bool operator>(const Event &other) const {
+      return std::pair{At, Sequence} > std::pair{other.At, other.Sequence};
+    }
+  };
+
+  Duration between(Duration least, Duration most);
+  bool chance(double probability) { return Rng.unit() < probability; }
+  void at(TimePoint time, std::function<void()> run);
+  /// Runs something in a VM's process: not at all after its end, and later if it is frozen.
+  void inVm(Vm &vm, Duration delay, std::function<void()> run);
+
+  void planLimits();
+  void planFaults();
+  void start(Vm &vm);
+  void end(Vm &vm);
+  void losePower(Vm &vm, Duration length);
+  void freeze(Vm &vm, Duration length);
+  void cut(Vm &vm, Duration length);
+
+  void gossip(Vm &vm);
+  void send(Vm &from, const std::vector<FleetDatagram> &datagrams);
+  void arrive();
+  void execute(Vm &vm, const BalanceCommands &commands);
+  void sendRequest(Vm &vm, const SendRequest &command);
+  void sendProbe(Vm &vm, const SendProbe &command);
+  void serve(Vm &vm, const SendRequest &command);
+  void answer(Vm &vm, const SendRequest &command);
+  void armWakeup(Vm &vm);
+
+  const LimitSpan *limitAt(const Upstream &upstream, TimePoint time) const;
+  UpstreamNotice noticeOf(int upstream) const;
+  LoadReport loadOf(int upstream) const;
+  bool isExcused(const Arrival &arrival) const;
+  void check(int upstream, std::vector<std::string> &violations) const;
+
+  LimitedFleetOptions Options;
+  Random Rng;
+  TimePoint Now;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> Events;
+  std::uint64_t EventCount = 0;
+  std::vector<std::unique_ptr<Vm>> Vms;
+  std::vector<Upstream> Upstreams;
+  std::uint64_t LastCall = 0;
+  int Requests = 0;
+  int Served = 0;
+  int RefusedEarly = 0;
+  int HealthChecks = 0;
+};
+
+} // namespace wigeonlift::test
