Gateway: Don't take callers with a shorter deadline for late ones

A request's objective counts from its caller's first attempt. How long the caller has waited was taken as the difference to the longest time left that any request of the route had brought. Now only a caller with less than 0.8 of the longest time counts as returned.

--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -233,12 +233,6 @@
   return route.WeightedServices[Splits[route.Name].next(route, Rng.unit())].Service;
 }
 
-Duration Gateway::waitedBefore(const Route &route, Duration left) {
-  auto &longest = LongestWaits[route.Name];
-  longest = std::max(longest, left);
-  return longest - left;
-}
-
 std::uint32_t Gateway::kindOf(const Route &route) {
   return Kinds.try_emplace(route.Name, static_cast<std::uint32_t>(Kinds.size())).first->second;
 }
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "BodyMemory.h"
+#include "CallerWait.h"
 #include "RequestLog.h"
 #include "ServiceTask.h"
 #include "StartPlan.h"
@@ -65,8 +66,7 @@
   std::shared_ptr<ServiceTask> service(const std::string &name) const;
   /// The service that takes the next call of a route.
   std::string partFor(const Route &route);
-  /// Time that the caller has already waited when its request says that it waits so much longer.
-  Duration waitedBefore(const Route &route, Duration left);
+  CallerWait &callerWait() { return CallersWaited; }
   std::uint32_t kindOf(const Route &route);
   CallId nextCallId() { return CallId{++LastCall}; }
   EventLog &eventLog() { return Log; }
@@ -100,7 +100,7 @@
   UpstreamList Upstreams;
   std::map<std::string, std::shared_ptr<ServiceTask>> Services;
   std::map<std::string, WeightedRoundRobin, std::less<>> Splits;
-  std::map<std::string, Duration, std::less<>> LongestWaits;
+  CallerWait CallersWaited;
   std::map<std::string, std::uint32_t, std::less<>> Kinds;
   GatewayCounts Counts;
   BodyMemory Bodies;
--- a/Services/Gateway/RequestIntake.cpp
+++ b/Services/Gateway/RequestIntake.cpp
@@ -125,7 +125,8 @@
 RequestSpec RequestIntake::specFor(const Route &route) {
   const auto stated = statedTimeLeft();
   const Duration left = stated.value_or(DefaultDeadline);
-  const Duration waited = stated ? Owner.waitedBefore(route, left) : Duration::zero();
+  const Duration waited =
+      stated ? Owner.callerWait().waitedBefore(route.Name, left) : Duration::zero();
   const TimePoint deadline = ArrivedAt + std::min(left - AnswerWay, route.Timeout.value_or(left));
   const Duration target = route.TargetLatency > Duration::zero() ? route.TargetLatency : left;
   return {.Id = Owner.nextCallId(),
