--- a/Libraries/LibBalance/UpstreamLimits.cpp
+++ b/Libraries/LibBalance/UpstreamLimits.cpp
@@ -74,6 +74,11 @@
   return it == Limits.end() ? std::nullopt : std::optional{it->second.RequestsPerSecond};
 }
 
+int UpstreamLimits::heldShares(UpstreamIndex upstream) const {
+  const auto it = Limits.find(upstream);
+  return it == Limits.end() ? 0 : it->second.HeldShares;
+}
+
 bool UpstreamLimits::hasRoom(UpstreamIndex upstream, TimePoint now) const {
   const auto it = Limits.find(upstream);
   return it == Limits.end() || it->second.Room.readyAt(0) <= now;
--- a/Libraries/LibBalance/UpstreamLimits.h
+++ b/Libraries/LibBalance/UpstreamLimits.h
@@ -30,6 +30,8 @@
   /// Requests per second that the upstream accepts from the fleet; empty if it names no limit.
   std::optional<double> requestsPerSecond(UpstreamIndex upstream) const;
   std::size_t size() const { return Limits.size(); }
+  /// Number of shares of the upstream's limit that this VM holds; 0 without a limit.
+  int heldShares(UpstreamIndex upstream) const;
   /// Whether the upstream can take a request of this VM now.
   bool hasRoom(UpstreamIndex upstream, TimePoint now) const;
   /// Takes the room for one request. Always succeeds at an upstream without a limit.
--- a/Libraries/LibBalance/UpstreamSubset.h
+++ b/Libraries/LibBalance/UpstreamSubset.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBalance/BalanceTypes.h>
+#include <LibBalance/UpstreamLimits.h>
 
 #include <cstdint>
 #include <span>
@@ -20,4 +21,11 @@
 std::vector<UpstreamInfo> chooseSubset(std::span<const UpstreamInfo> upstreams, std::uint64_t vmKey,
                                        double requestShare);
 
+/// The same for a service of which some upstreams name rate limits. The subset contains all
+/// upstreams that this VM holds shares of, since few other VMs send requests there, and is chosen
+/// from the others without those whose limits leave nothing to this VM.
+std::vector<UpstreamInfo> chooseSubset(std::span<const UpstreamInfo> upstreams,
+                                       const UpstreamLimits &limits, std::uint64_t vmKey,
+                                       double requestShare, TimePoint now);
+
 } // namespace wigeonlift
--- a/Services/Gateway/ServiceTask.cpp
+++ b/Services/Gateway/ServiceTask.cpp
@@ -92,19 +92,10 @@
     useSubset();
 }
 
-std::vector<UpstreamInfo> ServiceTask::candidates(TimePoint now) const {
-  std::vector<UpstreamInfo> result;
-  std::ranges::copy_if(Known, std::back_inserter(result), [&](const UpstreamInfo &it) {
-    return !Balancer.limits().isWithheld(it.Index, now);
-  });
-  // The balancer refuses requests with a better reason than that there is no upstream.
-  return result.empty() ? Known : result;
-}
-
 void ServiceTask::useSubset() {
   const TimePoint now = bootTimeNow();
   BalanceCommands out;
-  Balancer.setUpstreams(chooseSubset(candidates(now), Seed, RequestShare), now, out);
+  Balancer.setUpstreams(chooseSubset(Known, Balancer.limits(), Seed, RequestShare, now), now, out);
   execute(out);
 }
 
--- a/Services/Gateway/ServiceTask.h
+++ b/Services/Gateway/ServiceTask.h
@@ -78,8 +78,6 @@
 
 private:
   void useSubset();
-  /// The upstreams to choose the subset from: those that this VM may send requests to.
-  std::vector<UpstreamInfo> candidates(TimePoint now) const;
   void execute(const BalanceCommands &commands);
   void run(const SendRequest &command);
   void run(const AbortAttempt &command);
--- a/Tests/LibBalance/TestUpstreamSubset.cpp
+++ b/Tests/LibBalance/TestUpstreamSubset.cpp
@@ -81,4 +81,33 @@
   EXPECT_GE(chooseSubset(all, 7, SmallShare).size(), 24U);
 }
 
+// Guards against VMs that leave most of their shares of rate limits unused, because the upstreams
+// are not in their subsets. In a grown fleet with 310 limited upstreams, 27% of the limits were
+// used.
+TEST(UpstreamSubset, ContainsAllUpstreamsThatThisVmHoldsSharesOf) {
+  const auto upstreams = makeUpstreams(UpstreamCount);
+  const ShareAssignment::Vm self{.Address = 1};
+  std::vector<ShareAssignment::Vm> localVms;
+  for (std::uint32_t n = 1; n <= VmCount; ++n)
+    localVms.push_back({.Address = n});
+  UpstreamLimits limits{7};
+  const TimePoint now{std::chrono::seconds{1000}};
+  limits.setAssignment({self, "a", {{.Name = "a"}}, localVms}, now);
+  for (const UpstreamInfo &it : upstreams)
+    if (it.Index.Value % 10 < 7)
+      limits.didReport(it.Index, it.Index.Value,
+                       {.Kind = RateLimitReport::Content::Limited, .RequestsPerSecond = 2}, now);
+  const auto chosen = chooseSubset(upstreams, limits, 7, SmallShare, now);
+  const auto indices = indicesOf(chosen);
+  std::size_t held = 0;
+  for (const UpstreamInfo &it : upstreams) {
+    if (limits.heldShares(it.Index) > 0)
+      ++held;
+    EXPECT_FALSE(limits.heldShares(it.Index) > 0 && !indices.contains(it.Index));
+    EXPECT_FALSE(limits.isWithheld(it.Index, now) && indices.contains(it.Index));
+  }
+  EXPECT_GT(held, 0U);
+  EXPECT_EQ(chosen.size(), 24 + held);
+}
+
 } // namespace wigeonlift
