platform: Don't let one odd item hide all others in the store

Other operators saw machines that stopped following the list of upstreams because of one odd entry of another writer. Here an item whose value is missing or can't be decoded made the whole read or watch fail, so a VM would no longer learn of any change. Such a value is now empty, which no reader of values accepts. Entries with port 0, and ids with bytes that would add lines to the head of requests, were used and are now rejected. Nested or too large values were rejected already.

--- a/Tests/Platform/TestPlatform.cpp
+++ b/Tests/Platform/TestPlatform.cpp
@@ -77,6 +77,34 @@
   EXPECT_FALSE(platform::decodeUpstreamRecord("i-1", "\xff\x00"));
 }
 
+// Odd entries of other writers. Guards against one that ends the process, or that is used: with
+// values beyond every range, nested without end, or with an id that would add lines to requests.
+TEST(UpstreamCodec, RejectsOddRecords) {
+  const std::string good =
+      R"({"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","capacity-slots":3,)"
+      R"("state":"ready","warmup-remaining":"300ms","sequence":4,"born":17})";
+  const std::string deep = std::string(100'000, '[') + std::string(100'000, ']');
+  for (const auto &[from, to] : std::vector<std::pair<std::string, std::string>>{
+           {R"("capacity-slots":3)", R"("capacity-slots":1e999)"},
+           {R"("capacity-slots":3)", R"("capacity-slots":99999999999999999999999)"},
+           {R"("capacity-slots":3)", R"("capacity-slots":-3)"},
+           {R"("born":17)", R"("born":99999999999999999999999)"},
+           {R"("born":17)", R"("born":1e999)"},
+           {R"("300ms")", R"("1e999s")"},
+           {R"("10.0.0.1:80")", R"("10.0.0.1:70000")"},
+           {R"("10.0.0.1:80")", R"("10.0.0.1:-1")"},
+           {R"("10.0.0.1:80")", R"("10.0.0.1:0")"},
+           {R"("v1")", deep}}) {
+    std::string odd = good;
+    odd.replace(odd.find(from), from.size(), to);
+    EXPECT_FALSE(platform::decodeUpstreamRecord("i-1", odd)) << odd.substr(0, 200);
+  }
+  EXPECT_FALSE(platform::decodeUpstreamRecord("i-1", deep));
+  EXPECT_FALSE(platform::decodeUpstreamRecord("i-1\r\nX: y", good));
+  EXPECT_FALSE(platform::decodeUpstreamRecord("i 1", good));
+  EXPECT_TRUE(platform::decodeUpstreamRecord("i-1", good));
+}
+
 // Guards against configuration fields that are ignored, and against a wrong call class for a route
 // kind.
 TEST(ConfigurationCodec, DecodesRoutesAndLimits) {
--- a/Tests/Platform/TestStoreClient.cpp
+++ b/Tests/Platform/TestStoreClient.cpp
@@ -41,6 +41,19 @@
 
 } // namespace
 
+// Guards against one item whose value can't be decoded and that keeps a VM from reading all others.
+TEST(StoreClient, AnItemWithAnUnreadableValueHidesNoOthers) {
+  const auto delta = readAllFrom([](const std::string &) {
+    return pageReply(R"({"items":[{"key":"a","value":"!!","revision":3},{"key":"b","revision":4},)"
+                     R"({"key":"c","value":"eA==","revision":5}],"has-more":false,"as-of":7})");
+  });
+  ASSERT_TRUE(delta.ok()) << delta.status();
+  ASSERT_EQ(delta->Items.size(), 3U);
+  EXPECT_EQ(delta->Items[0].Value, "");
+  EXPECT_EQ(delta->Items[1].Value, "");
+  EXPECT_EQ(delta->Items[2].Value, "x");
+}
+
 // Guards against pages that are lost, and against a copy that claims a later revision than that at
 // which its first page was read.
 TEST(StoreClient, ReadsAllPages) {
