Tests: Show what becomes of repeated refusals, broken heads and odd entries

All four tests pass on the code as it was: refusals count only with the id of the request, and a head without its end is no answer.

--- a/Tests/Gateway/TestDataPath.cpp
+++ b/Tests/Gateway/TestDataPath.cpp
@@ -102,6 +102,60 @@
   EXPECT_EQ(first.requests().size() + second.requests().size(), 1U);
 }
 
+// A faulty upstream sends an earlier refusal once more on a kept connection. Guards against a
+// caller who is told that its request has not run, and against a second run, while the upstream
+// runs it.
+TEST_F(GatewayFixture, ARefusalThatIsSentOnceMoreProvesNothing) {
+  int arrivals = 0;
+  const auto repeatsRefusal = [&](const std::string &attemptId) -> FakeReply {
+    if (arrivals++ == 0)
+      return {notExecutedAnswer(attemptId)};
+    return {notExecutedAnswer("attempt-1") + sealedAnswer(attemptId, "done")};
+  };
+  PlatformUpstream upstream{Context, "i-1", repeatsRefusal};
+  configure({&upstream});
+  EXPECT_EQ(statusOf(*ask(callerRequest("POST", "/record/1", "attempt-1", "a belt"))), 503);
+  const auto caller = ask(callerRequest("POST", "/record/1", "attempt-2", "a belt"));
+  EXPECT_EQ(statusOf(*caller), 200);
+  EXPECT_EQ(caller->body(), "done");
+  EXPECT_EQ(upstream.requests().size(), 2U);
+}
+
+// The same refusal, but the answer follows late or never.
+TEST_F(GatewayFixture, ARefusalThatIsSentOnceMoreWithoutAnAnswerProvesNothing) {
+  int arrivals = 0;
+  const auto repeatsRefusal = [&](const std::string &attemptId) -> FakeReply {
+    if (arrivals++ == 0)
+      return {notExecutedAnswer(attemptId)};
+    return {.Bytes = notExecutedAnswer("attempt-1"), .Closes = true};
+  };
+  PlatformUpstream upstream{Context, "i-1", repeatsRefusal};
+  configure({&upstream});
+  EXPECT_EQ(statusOf(*ask(callerRequest("POST", "/record/1", "attempt-1", "a belt"))), 503);
+  const auto caller = ask(callerRequest("POST", "/record/1", "attempt-2", "a belt"));
+  EXPECT_EQ(statusOf(*caller), 502);
+  EXPECT_EQ(upstream.requests().size(), 2U);
+}
+
+// Guards against a success, framed as whole, that is made of an answer whose head broke off.
+TEST_F(GatewayFixture, AnAnswerThatEndsWithinItsHeadIsNoSuccess) {
+  const std::string whole = sealedAnswer("attempt-1", "done");
+  const std::size_t headEnd = whole.find("\r\n\r\n");
+  std::size_t length = 0;
+  PlatformUpstream upstream{Context, "i-1", [&](const std::string &) -> FakeReply {
+                              return {.Bytes = whole.substr(0, length), .Closes = true};
+                            }};
+  configure({&upstream});
+  // Ends within the status line, at the ends of lines, and before the last byte of the head.
+  for (const std::size_t it :
+       {std::size_t{5}, whole.find("\r\n"), whole.find("\r\n") + 2, whole.find("X-Wig"),
+        whole.find("\r\n", whole.find("seal")) + 2, headEnd, headEnd + 2, headEnd + 3}) {
+    length = it;
+    const auto caller = ask(callerRequest("POST", "/record/1", "attempt-1", "a belt"));
+    EXPECT_EQ(statusOf(*caller), 502) << whole.substr(0, length);
+  }
+}
+
 // Guards against a success without the upstream's seal, and against a success made of a failure.
 TEST_F(GatewayFixture, AnAnswerWithoutSealIsNoSuccess) {
   PlatformUpstream upstream{Context, "i-1", [](const std::string &attemptId) -> FakeReply {
@@ -145,6 +199,24 @@
   EXPECT_EQ(answers, 2);
 }
 
+// An odd entry of another writer stands among those of upstreams. Guards against a list that is no
+// longer followed, and against a process that ends.
+TEST_F(GatewayFixture, OddEntriesHideNoUpstreams) {
+  PlatformUpstream upstream{Context, "i-2", success};
+  configure({&upstream});
+  std::vector<StoreItem> odd;
+  for (const std::string &it :
+       {std::string(50'000, '['), std::string(R"({"service":1e999})"), std::string("\xff\x00\x01"),
+        std::string(R"({"service":"s","address":"1.2.3.4:99999","zone":"a","capacity-slots":3,)"
+                    R"("state":"ready"})")})
+    odd.push_back({.Key = fmt::format("servers/i-1{}", odd.size()),
+                   .Value = it,
+                   .Revision = 100 + odd.size()});
+  Core.didLearn(odd, "test", {});
+  const auto caller = ask(callerRequest("GET", "/look/1", "attempt-1"));
+  EXPECT_EQ(statusOf(*caller), 200);
+}
+
 // Guards against a second request that is smuggled inside another one's body.
 TEST_F(GatewayFixture, AmbiguousRequestsReachNoUpstream) {
   PlatformUpstream upstream{Context, "i-1", success};
