LibBudget: Keep the budget of repeats in windows that end after a burst

Each VM compared its repeats with the requests of the last 10 s. At 15 s, when a burst of 10 s ends, all of it counted, for repeats that had begun at 7 s, so the window from 7 to 17 s, with 2 s of usual traffic, had been used up by then.

Now a repeat has room only if it fits into every window that has begun. The requests of a young window count as those one or half a window earlier, in parts that depend on its age alone: a choice by each VM of its best window would add up to more than the fleet's.

--- a/Libraries/LibBudget/RepeatBudget.h
+++ b/Libraries/LibBudget/RepeatBudget.h
@@ -2,12 +2,19 @@
 
 #include <LibBase/LibBase.h>
 
+#include <cstdint>
 #include <deque>
+#include <span>
 
 namespace wigeonlift {
 
-/// Limits the repeats of requests to a service in every sliding window to a ratio of the requests
-/// in the window, plus this VM's part of an allowance that all VMs share.
+/// Limits the repeats of requests to a service in every sliding window to a ratio of its requests,
+/// plus this VM's part of an allowance that all VMs share.
+///
+/// A window that has begun may contain few requests in the end, because the traffic may fall. Its
+/// requests are therefore counted as those of the window one or one half window earlier until most
+/// of it has passed. How much of each counts depends on the time since its begin only, so that the
+/// budgets of all VMs together stay within the limit for the requests of the fleet.
 class RepeatBudget {
 public:
   explicit RepeatBudget(TimePoint startedAt) : StartedAt(startedAt) {}
@@ -26,17 +33,25 @@
   double remaining(TimePoint now) const;
 
 private:
+  /// Counts of 100 ms.
   struct Bucket {
-    TimePoint Begin;
     int Requests = 0;
     int Repeats = 0;
   };
   Bucket &bucketAt(TimePoint now);
+  /// The number that counts as the requests of the window that began `age` buckets ago. Element n
+  /// of `recentRequests` is the number of requests in the last n buckets.
+  double requestsOfWindow(int age, std::span<const int> recentRequests) const;
+  Bucket countsOf(std::int64_t bucket) const;
+  int windowBuckets() const;
 
   TimePoint StartedAt;
   double Ratio = 0;
   double Allowance = 0;
   Duration Window = std::chrono::seconds{10};
+  /// Number of the last bucket, counted from the epoch of the clock. The buckets before it have no
+  /// gaps.
+  std::int64_t LastBucket = 0;
   std::deque<Bucket> Buckets;
 };
 
