LibBalance, Gateway: Heed upstreams that leave or want nothing for a time

Upstreams say in responses that they are leaving (Server-Leaving), and with a 503 for how long they want nothing from a VM (Retry-After); nothing read either. Both are decoded with the rate limit into one UpstreamNotice, from answers that are certainly the upstream's own, to requests and health checks alike.

An upstream that leaves gets no new request from this VM from then on, whatever the store says, until it is another incarnation (LeavingUpstreams); requests that were placed there turn back before they are sent. One that wants nothing gets neither requests nor health checks until its time is over, at most an hour, and up to a tenth longer, so that VMs don't return together; a later, shorter time doesn't end it. While all upstreams of a service want nothing, requests are refused at once, with the time until the first returns. An attempt that turns back before it was sent no longer counts as tried.

--- a/Libraries/LibBalance/Attempts.cpp
+++ b/Libraries/LibBalance/Attempts.cpp
@@ -59,12 +59,15 @@
     expireRequest(request, now, out);
     return false;
   }
-  // An upstream that was removed, or named a rate limit, after it was chosen gets no new requests.
-  const bool isUnavailable = !findUpstream(it->second.Upstream) ||
-                             (!it->second.IsWithinLimit && !Limits.take(it->second.Upstream, now));
+  // An upstream that was removed, or has said that it wants no more requests, after it was chosen
+  // gets none.
+  const UpstreamIndex upstream = it->second.Upstream;
+  const bool isUnavailable = !findUpstream(upstream) || Limits.wantsNothing(upstream, now) ||
+                             (!it->second.IsWithinLimit && !Limits.take(upstream, now));
   if (isUnavailable || (it->second.IsExtraAttempt && !RetryLimiter.take(now))) {
     const bool isExtraAttempt = it->second.IsExtraAttempt;
     removeAttempt(id);
+    std::erase(request.TriedUpstreams, upstream);
     if (isUnavailable && (!isExtraAttempt || RetryLimiter.hasRoom(now)))
       requeue(request);
     else
--- a/Libraries/LibBalance/Placement.cpp
+++ b/Libraries/LibBalance/Placement.cpp
@@ -71,19 +71,19 @@
 std::optional<TimePoint> ServiceBalancer::roomIfTooLate(const Request &request,
                                                         std::size_t requestsAhead,
                                                         TimePoint now) const {
-  if (Limits.size() == 0)
+  if (Limits.isEmpty())
     return std::nullopt;
-  std::vector<UpstreamIndex> limited;
+  std::vector<UpstreamIndex> restricted;
   for (const auto &[index, view] : Upstreams) {
     if (!isEligible(view, request, now))
       continue;
-    if (!Limits.requestsPerSecond(index))
+    if (!Limits.isRestricted(index, now))
       return std::nullopt;
-    limited.push_back(index);
+    restricted.push_back(index);
   }
-  if (limited.empty())
+  if (restricted.empty())
     return std::nullopt;
-  const TimePoint roomAt = Limits.readyAt(limited, requestsAhead);
+  const TimePoint roomAt = Limits.readyAt(restricted, requestsAhead);
   return roomAt > latestStart(request) ? std::optional{roomAt} : std::nullopt;
 }
 
--- a/Libraries/LibBalance/ServiceBalancer.cpp
+++ b/Libraries/LibBalance/ServiceBalancer.cpp
@@ -104,6 +104,8 @@
 
 bool ServiceBalancer::noticeReceived(UpstreamIndex upstream, std::uint64_t fleetKey,
                                      const UpstreamNotice &notice, TimePoint now) {
+  if (notice.RetryAfter)
+    Limits.didAskToStayAway(upstream, *notice.RetryAfter, now);
   return Limits.didReport(upstream, fleetKey, notice.RateLimit, now);
 }
 
--- a/Libraries/LibBalance/UpstreamLimits.cpp
+++ b/Libraries/LibBalance/UpstreamLimits.cpp
@@ -22,6 +22,8 @@
 constexpr Duration MaxRecheckInterval = std::chrono::seconds{30};
 // Keeps VMs from asking at the same time.
 constexpr double RecheckJitter = 0.5;
+// Part of the time that an upstream asks for by which VMs return later.
+constexpr double ReturnJitter = 0.1;
 
 } // namespace
 
@@ -79,44 +81,77 @@
   return it == Limits.end() ? 0 : it->second.HeldShares;
 }
 
+void UpstreamLimits::didAskToStayAway(UpstreamIndex upstream, Duration duration, TimePoint now) {
+  // VMs that were rejected together must not return together.
+  const Duration span = fromSeconds(toSeconds(duration) * (1 + ReturnJitter * Rng.unit()));
+  TimePoint &until = StayAwayUntil[upstream];
+  until = std::max(until, now + span);
+}
+
+void UpstreamLimits::forget(UpstreamIndex upstream) {
+  Limits.erase(upstream);
+  StayAwayUntil.erase(upstream);
+}
+
+bool UpstreamLimits::wantsNothing(UpstreamIndex upstream, TimePoint now) const {
+  const auto it = StayAwayUntil.find(upstream);
+  return it != StayAwayUntil.end() && now < it->second;
+}
+
+bool UpstreamLimits::isRestricted(UpstreamIndex upstream, TimePoint now) const {
+  return Limits.contains(upstream) || wantsNothing(upstream, now);
+}
+
 bool UpstreamLimits::hasRoom(UpstreamIndex upstream, TimePoint now) const {
-  const auto it = Limits.find(upstream);
-  return it == Limits.end() || it->second.Room.readyAt(0) <= now;
+  return readyAt(upstream, 0) <= now;
 }
 
 bool UpstreamLimits::take(UpstreamIndex upstream, TimePoint now) {
+  if (wantsNothing(upstream, now))
+    return false;
   const auto it = Limits.find(upstream);
   return it == Limits.end() || it->second.Room.take(now);
 }
 
 bool UpstreamLimits::mayProbe(UpstreamIndex upstream, TimePoint now) const {
+  if (wantsNothing(upstream, now))
+    return false;
   const auto it = Limits.find(upstream);
   return it == Limits.end() || now >= it->second.RecheckAt || it->second.Room.readyAt(0) <= now;
 }
 
 bool UpstreamLimits::isWithheld(UpstreamIndex upstream, TimePoint now) const {
+  if (wantsNothing(upstream, now))
+    return true;
   const auto it = Limits.find(upstream);
   return it != Limits.end() && it->second.HeldShares == 0 && now < it->second.RecheckAt;
 }
 
+TimePoint UpstreamLimits::readyAt(UpstreamIndex upstream, std::size_t callsAhead) const {
+  const auto stayAway = StayAwayUntil.find(upstream);
+  const TimePoint returnsAt = stayAway == StayAwayUntil.end() ? TimePoint::min() : stayAway->second;
+  const auto limit = Limits.find(upstream);
+  return limit == Limits.end() ? returnsAt
+                               : std::max(returnsAt, limit->second.Room.readyAt(callsAhead));
+}
+
 TimePoint UpstreamLimits::readyAt(std::span<const UpstreamIndex> upstreams,
                                   std::size_t callsAhead) const {
   struct NextRoom {
     TimePoint At;
-    const RateLimit *Room;
+    UpstreamIndex Upstream;
     std::size_t CallsAhead;
     bool operator>(const NextRoom &other) const { return At > other.At; }
   };
   std::priority_queue<NextRoom, std::vector<NextRoom>, std::greater<>> next;
   for (const UpstreamIndex it : upstreams)
-    if (const auto limit = Limits.find(it); limit != Limits.end())
-      next.push({limit->second.Room.readyAt(0), &limit->second.Room, 0});
+    next.push({readyAt(it, 0), it, 0});
   for (std::size_t n = 0; n < callsAhead && !next.empty(); ++n) {
     const NextRoom used = next.top();
     if (used.At == TimePoint::max())
       break;
     next.pop();
-    next.push({used.Room->readyAt(used.CallsAhead + 1), used.Room, used.CallsAhead + 1});
+    next.push({readyAt(used.Upstream, used.CallsAhead + 1), used.Upstream, used.CallsAhead + 1});
   }
   return next.empty() ? TimePoint::max() : next.top().At;
 }
--- a/Libraries/LibBalance/UpstreamLimits.h
+++ b/Libraries/LibBalance/UpstreamLimits.h
@@ -9,7 +9,8 @@
 
 namespace wigeonlift {
 
-/// The rate limits that the upstreams of a service name for the fleet, and this VM's part of each.
+/// What the upstreams of a service say about the requests that they accept: rate limits for the
+/// fleet, of which this VM has a part, and times for which they want nothing from this VM.
 ///
 /// A limit is divided into a few shares, which VMs hold as `ShareAssignment` says. Only a VM that
 /// holds shares sends requests to the upstream, and saves up at most a burst of one request for
@@ -24,12 +25,20 @@
   /// changed.
   bool didReport(UpstreamIndex upstream, std::uint64_t fleetKey, const RateLimitReport &report,
                  TimePoint now);
-  void forget(UpstreamIndex upstream) { Limits.erase(upstream); }
+  /// The upstream wants nothing from this VM for so long. Doesn't shorten an earlier time.
+  void didAskToStayAway(UpstreamIndex upstream, Duration duration, TimePoint now);
+  void forget(UpstreamIndex upstream);
   void setAssignment(const ShareAssignment &assignment, TimePoint now);
 
   /// Requests per second that the upstream accepts from the fleet; empty if it names no limit.
   std::optional<double> requestsPerSecond(UpstreamIndex upstream) const;
+  /// Number of upstreams that name a limit.
   std::size_t size() const { return Limits.size(); }
+  bool isEmpty() const { return Limits.empty() && StayAwayUntil.empty(); }
+  /// Whether the upstream wants nothing from this VM for now.
+  bool wantsNothing(UpstreamIndex upstream, TimePoint now) const;
+  /// Whether the upstream names a limit or wants nothing for now.
+  bool isRestricted(UpstreamIndex upstream, TimePoint now) const;
   /// Number of shares of the upstream's limit that this VM holds; 0 without a limit.
   int heldShares(UpstreamIndex upstream) const;
   /// Whether the upstream can take a request of this VM now.
@@ -41,7 +50,7 @@
   bool mayProbe(UpstreamIndex upstream, TimePoint now) const;
   /// Whether this VM can't send requests to the upstream until its limit or the fleet changes.
   bool isWithheld(UpstreamIndex upstream, TimePoint now) const;
-  /// When one of the limited upstreams has room for a request behind `callsAhead` others.
+  /// When one of the restricted upstreams has room for a request behind `callsAhead` others.
   /// `TimePoint::max()` if that never happens.
   TimePoint readyAt(std::span<const UpstreamIndex> upstreams, std::size_t callsAhead) const;
 
@@ -62,7 +71,11 @@
   void updateShares(Limit &limit, TimePoint now) const;
   Duration recheckInterval();
 
+  /// When the upstream has room for a request of this VM behind `callsAhead` others.
+  TimePoint readyAt(UpstreamIndex upstream, std::size_t callsAhead) const;
+
   std::map<UpstreamIndex, Limit> Limits;
+  std::map<UpstreamIndex, TimePoint> StayAwayUntil;
   ShareAssignment Assignment;
   Random Rng;
 };
--- a/Libraries/LibBalance/UpstreamSubset.cpp
+++ b/Libraries/LibBalance/UpstreamSubset.cpp
@@ -56,15 +56,14 @@
 std::vector<UpstreamInfo> chooseSubset(std::span<const UpstreamInfo> upstreams,
                                        const UpstreamLimits &limits, std::uint64_t vmKey,
                                        double requestShare, TimePoint now) {
-  if (limits.size() == 0)
+  if (limits.isEmpty())
     return chooseSubset(upstreams, vmKey, requestShare);
   std::vector<UpstreamInfo> held;
   std::vector<UpstreamInfo> others;
   for (const UpstreamInfo &it : upstreams) {
-    if (limits.heldShares(it.Index) > 0)
-      held.push_back(it);
-    else if (!limits.isWithheld(it.Index, now))
-      others.push_back(it);
+    if (limits.isWithheld(it.Index, now))
+      continue;
+    (limits.heldShares(it.Index) > 0 ? held : others).push_back(it);
   }
   // The balancer refuses requests with a better reason than that there is no upstream.
   if (held.empty() && others.empty())
--- a/Libraries/LibBase/UpstreamNotice.h
+++ b/Libraries/LibBase/UpstreamNotice.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <LibBase/Time.h>
+
 #include <cstdint>
+#include <optional>
 
 namespace wigeonlift {
 
@@ -21,6 +24,10 @@
 /// What an upstream says in any response about the requests that it wants, apart from its load.
 struct UpstreamNotice {
   RateLimitReport RateLimit;
+  /// The upstream finishes what it has and ends.
+  bool IsLeaving = false;
+  /// The upstream rejects a request and wants nothing from this VM for so long.
+  std::optional<Duration> RetryAfter{};
 
   bool operator==(const UpstreamNotice &) const = default;
 };
--- a/Libraries/LibDiscovery/LibDiscovery.h
+++ b/Libraries/LibDiscovery/LibDiscovery.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibDiscovery/LeaseRenewal.h>
+#include <LibDiscovery/LeavingUpstreams.h>
 #include <LibDiscovery/ReplicaFreshness.h>
 #include <LibDiscovery/StoreReplica.h>
 #include <LibDiscovery/StoreSyncPolicy.h>
--- a/Services/Gateway/RequestLog.cpp
+++ b/Services/Gateway/RequestLog.cpp
@@ -104,4 +104,15 @@
              {"per_s", fmt::format("{:.3f}", report.RequestsPerSecond)}});
 }
 
+void RequestLog::didAskToStayAway(std::string_view service, std::string_view upstream,
+                                  Duration duration) {
+  Log.write(EventLog::Priority::Important, "upstream_wants_nothing",
+            {{"svc", std::string{service}}, {"up", std::string{upstream}}, {"ms", ms(duration)}});
+}
+
+void RequestLog::didAnnounceLeaving(std::string_view service, std::string_view upstream) {
+  Log.write(EventLog::Priority::Important, "upstream_leaving",
+            {{"svc", std::string{service}}, {"up", std::string{upstream}}});
+}
+
 } // namespace wigeonlift
--- a/Services/Gateway/RequestLog.h
+++ b/Services/Gateway/RequestLog.h
@@ -25,6 +25,10 @@
   /// An upstream has changed the rate limit that it names, or names one that can't be read.
   void didReportRateLimit(std::string_view service, std::string_view upstream,
                           const RateLimitReport &report);
+  /// An upstream wants nothing from this VM for so long.
+  void didAskToStayAway(std::string_view service, std::string_view upstream, Duration duration);
+  /// An upstream has said in a response that it is leaving.
+  void didAnnounceLeaving(std::string_view service, std::string_view upstream);
 
 private:
   EventLog &Log;
--- a/Services/Gateway/ServiceTask.cpp
+++ b/Services/Gateway/ServiceTask.cpp
@@ -58,6 +58,8 @@
       ByIndex[known->Index] = known;
     }
     known->Record = record;
+    if (Leaving.contains(known->FleetKey))
+      continue;
     Known.push_back({.Index = known->Index,
                      .IsInLocalDataCentre = record.DataCentre == DataCentre,
                      .Slots = record.Slots,
@@ -88,7 +90,7 @@
 
 void ServiceTask::setShareAssignment(const ShareAssignment &assignment) {
   Balancer.setShareAssignment(assignment, bootTimeNow());
-  if (Balancer.limits().size() > 0)
+  if (!Balancer.limits().isEmpty())
     useSubset();
 }
 
@@ -138,8 +140,8 @@
 void ServiceTask::maintain(TimePoint now) {
   for (const auto &[id, known] : Upstreams)
     known->Pool->maintain(now, 0);
-  // It may be time to ask again whether a limit is in force.
-  if (Balancer.limits().size() > 0)
+  // It may be time to return to an upstream, or to ask again whether a limit is in force.
+  if (!Balancer.limits().isEmpty())
     useSubset();
 }
 
@@ -181,12 +183,19 @@
   // An answer may arrive when the upstream has left already.
   if (!ByIndex.contains(upstream.Index))
     return;
+  const TimePoint now = bootTimeNow();
   const UpstreamNotice notice = platform::parseUpstreamNotice(head);
-  const bool hasChanged =
-      Balancer.noticeReceived(upstream.Index, upstream.FleetKey, notice, bootTimeNow());
+  const bool hasChanged = Balancer.noticeReceived(upstream.Index, upstream.FleetKey, notice, now);
   if (hasChanged || notice.RateLimit.Kind == RateLimitReport::Content::Unusable)
     Log.didReportRateLimit(Name, upstream.Record.Id, notice.RateLimit);
-  if (hasChanged)
+  if (notice.RetryAfter)
+    Log.didAskToStayAway(Name, upstream.Record.Id, *notice.RetryAfter);
+  const bool hasLeft = notice.IsLeaving && Leaving.didAnnounce(upstream.FleetKey, now);
+  if (hasLeft) {
+    Log.didAnnounceLeaving(Name, upstream.Record.Id);
+    std::erase_if(Known, [&](const UpstreamInfo &it) { return it.Index == upstream.Index; });
+  }
+  if (hasChanged || notice.RetryAfter || hasLeft)
     useSubset();
 }
 
--- a/Services/Gateway/ServiceTask.h
+++ b/Services/Gateway/ServiceTask.h
@@ -93,6 +93,7 @@
   ServiceBalancer Balancer;
   /// All upstreams of the service; the balancer works with a subset.
   std::vector<UpstreamInfo> Known;
+  LeavingUpstreams Leaving;
   double RequestShare = 1;
   std::string HealthPath = "/health";
   int ConnectionLimit = 64;
--- a/Tests/Gateway/TestUpstreamNotices.cpp
+++ b/Tests/Gateway/TestUpstreamNotices.cpp
@@ -58,4 +58,62 @@
   }
 }
 
+// Guards against requests to an upstream that has said in a response that it is leaving, while its
+// record in the store still says that it is ready, or says so again.
+TEST_F(GatewayFixture, UpstreamsThatLeaveGetNoMoreRequests) {
+  const auto leaving = [](const std::string &attemptId) {
+    return FakeReply{sealedAnswer(attemptId, "done", 200, "Server-Leaving: 1\r\n")};
+  };
+  PlatformUpstream upstream{Context, "i-1", leaving};
+  configure({&upstream});
+  EXPECT_EQ(statusOf(*ask(callerRequest("GET", "/look/1", "attempt-1"))), 200);
+  EXPECT_EQ(statusOf(*ask(callerRequest("GET", "/look/1", "attempt-2"))), 503);
+  PlatformUpstream other{Context, "i-2", success};
+  configure({&upstream, &other});
+  for (int n = 3; n < 10; ++n)
+    EXPECT_EQ(statusOf(*ask(callerRequest("GET", "/look/1", fmt::format("attempt-{}", n)))), 200);
+  EXPECT_EQ(upstream.requests().size(), 1U);
+}
+
+// Guards against a health check that tells that its upstream is leaving and isn't heard.
+TEST_F(GatewayFixture, AnUpstreamThatLeavesByItsHealthCheckGetsNoRequest) {
+  PlatformUpstream upstream{Context, "i-1", success};
+  upstream.HealthFields = "Server-Leaving: 1\r\n";
+  configure({&upstream});
+  EXPECT_EQ(statusOf(*ask(callerRequest("GET", "/look/1", "attempt-1"))), 503);
+  EXPECT_TRUE(upstream.requests().empty());
+}
+
+// Guards against an earlier tenant of an address, or a second copy of an earlier answer, by which a
+// healthy upstream is taken for one that leaves.
+TEST_F(GatewayFixture, OnlyItsOwnAnswersSayThatAnUpstreamLeaves) {
+  int arrivals = 0;
+  const auto answers = [&](const std::string &attemptId) -> FakeReply {
+    if (arrivals++ == 0)
+      return {sealedAnswer("earlier", "", 200, "Server-Leaving: 1\r\n") +
+              sealedAnswer(attemptId, "done")};
+    return {sealedAnswer(attemptId, "done")};
+  };
+  PlatformUpstream upstream{Context, "i-1", answers};
+  configure({&upstream});
+  EXPECT_EQ(statusOf(*ask(callerRequest("GET", "/look/1", "attempt-1"))), 200);
+  EXPECT_EQ(statusOf(*ask(callerRequest("GET", "/look/1", "attempt-2"))), 200);
+}
+
+// Guards against requests to an upstream that has turned one away and asked for time.
+TEST_F(GatewayFixture, UpstreamsThatAskForTimeGetIt) {
+  const auto rejects = [](const std::string &attemptId) -> FakeReply {
+    return {fmt::format("HTTP/1.1 503 X\r\nContent-Length: 0\r\nRetry-After: 30\r\n{}: {}\r\n"
+                        "{}: full\r\n\r\n",
+                        platform::AttemptIdHeader, attemptId, platform::NotExecutedHeader)};
+  };
+  PlatformUpstream upstream{Context, "i-1", rejects};
+  PlatformUpstream other{Context, "i-2", success};
+  configure({&upstream, &other});
+  for (int n = 0; n < 20; ++n)
+    EXPECT_EQ(statusOf(*ask(callerRequest("POST", "/record/1", fmt::format("attempt-{}", n), "x"))),
+              200);
+  EXPECT_LE(upstream.requests().size(), 1U);
+}
+
 } // namespace wigeonlift
--- a/Tests/LibBalance/TestRateLimits.cpp
+++ b/Tests/LibBalance/TestRateLimits.cpp
@@ -31,10 +31,12 @@
                         .RequestsPerSecond = requestsPerSecond}};
 }
 
+constexpr UpstreamNotice WantsNothing{.RateLimit = {.Kind = RateLimitReport::Content::Unlimited},
+                                      .RetryAfter = std::chrono::seconds{3}};
 constexpr UpstreamNotice Unlimited{.RateLimit = {.Kind = RateLimitReport::Content::Unlimited}};
 
-/// All upstreams of the balancer name a limit.
-void limitAll(Harness &harness, const UpstreamNotice &notice) {
+/// All upstreams of the balancer say the same.
+void noticeFromAll(Harness &harness, const UpstreamNotice &notice) {
   for (const UpstreamInfo &it : harness.Upstreams)
     harness.Balancer.noticeReceived(it.Index, it.Index.Value, notice, harness.Now);
 }
@@ -103,7 +105,7 @@
 TEST(RateLimits, RequestsWithoutRoomAreRefusedAtOnce) {
   Harness it{1};
   it.learnWorkTime();
-  limitAll(it, limitedTo(0.5));
+  noticeFromAll(it, limitedTo(0.5));
   const CallId first = it.arrive();
   it.advance(std::chrono::milliseconds{20});
   EXPECT_EQ(it.sendsOf(first).size(), 1U);
@@ -118,7 +120,7 @@
 TEST(RateLimits, UrgentRequestsGetTheNextRoom) {
   Harness it{1};
   it.learnWorkTime();
-  limitAll(it, limitedTo(10));
+  noticeFromAll(it, limitedTo(10));
   it.respond(it.firstSendOf(it.arrive()), ResponseKind::Success);
   RequestSpec lessUrgent = it.spec();
   lessUrgent.Priority = 2;
@@ -160,13 +162,13 @@
 TEST(RateLimits, UpstreamsAreInFullUseWhenTheirLimitEnds) {
   Harness it{1};
   it.learnWorkTime();
-  limitAll(it, limitedTo(0));
+  noticeFromAll(it, limitedTo(0));
   EXPECT_TRUE(it.Refused.contains(it.arrive()));
   it.advance(std::chrono::seconds{40});
   const int probes = it.Probes;
   it.arrive();
   EXPECT_EQ(it.Probes, probes + 1) << "nobody asked whether the limit is still in force";
-  limitAll(it, Unlimited);
+  noticeFromAll(it, Unlimited);
   const CallId id = it.arrive();
   it.advance(std::chrono::milliseconds{20});
   EXPECT_EQ(it.sendsOf(id).size(), 1U);
@@ -176,7 +178,7 @@
 TEST(RateLimits, UpstreamsWithoutRoomAreNotProbed) {
   Harness it{1};
   it.learnWorkTime();
-  limitAll(it, limitedTo(0.1));
+  noticeFromAll(it, limitedTo(0.1));
   it.respond(it.firstSendOf(it.arrive()), ResponseKind::Success);
   const int probes = it.Probes;
   for (int n = 0; n < 100; ++n) {
@@ -185,3 +187,64 @@
   }
   EXPECT_EQ(it.Probes, probes);
 }
+
+// Guards against requests and health checks that reach an upstream that wants nothing for a time,
+// and against a later, shorter time that ends an earlier one.
+TEST(RateLimits, UpstreamsThatWantNothingGetNothingUntilThen) {
+  Harness it{2};
+  it.learnWorkTime();
+  const UpstreamIndex busy = Harness::index(0);
+  it.Balancer.noticeReceived(busy, 0, WantsNothing, it.Now);
+  UpstreamNotice shorter = WantsNothing;
+  shorter.RetryAfter = std::chrono::milliseconds{100};
+  it.Balancer.noticeReceived(busy, 0, shorter, it.Now);
+  // The balancer asks only the other one.
+  it.UnresponsiveUpstreams = {busy};
+  for (int n = 0; n < 290; ++n) {
+    const CallId id = it.arrive();
+    it.advance(std::chrono::milliseconds{10});
+    for (const SendRequest &sent : it.sendsOf(id)) {
+      EXPECT_NE(sent.Upstream, busy);
+      it.respond(sent, ResponseKind::Success);
+    }
+  }
+  it.UnresponsiveUpstreams.clear();
+  it.advance(std::chrono::milliseconds{500});
+  it.Sent.clear();
+  for (int n = 0; n < 20; ++n)
+    it.arrive();
+  it.advance(std::chrono::milliseconds{50});
+  EXPECT_TRUE(
+      std::ranges::any_of(it.Sent, [&](const auto &sent) { return sent.Upstream == busy; }));
+}
+
+// Guards against a request that was assigned to an upstream before it said that it wants nothing.
+TEST(RateLimits, RequestsOnTheirWayTurnBackWhenTheUpstreamWantsNothing) {
+  Harness it{1};
+  it.learnWorkTime();
+  BalanceCommands out;
+  const RequestSpec spec = it.spec();
+  // Known from the last response, so no probe comes first.
+  it.Balancer.requestArrived(spec, it.Now, out);
+  const auto *send = std::get_if<SendRequest>(&out.at(0));
+  ASSERT_TRUE(send);
+  it.Balancer.noticeReceived(send->Upstream, 0, WantsNothing, it.Now);
+  BalanceCommands after;
+  EXPECT_FALSE(it.Balancer.maySend(send->Attempt, it.Now, after));
+  it.handle(after);
+  ASSERT_TRUE(it.Refused.contains(spec.Id));
+  EXPECT_EQ(it.Refused[spec.Id].Executed, Execution::NotRun);
+}
+
+// Guards against callers who wait, or come back too early, while all upstreams want nothing.
+TEST(RateLimits, RequestsAreRefusedAtOnceWhileAllUpstreamsWantNothing) {
+  Harness it{3};
+  it.learnWorkTime();
+  UpstreamNotice notice = WantsNothing;
+  notice.RetryAfter = std::chrono::milliseconds{1500};
+  noticeFromAll(it, notice);
+  const CallId id = it.arrive();
+  ASSERT_TRUE(it.Refused.contains(id));
+  EXPECT_GE(it.Refused[id].RetryAfter, std::chrono::milliseconds{1500});
+  EXPECT_LE(it.Refused[id].RetryAfter, std::chrono::milliseconds{1700});
+}
--- a/Tests/Platform/TestPlatform.cpp
+++ b/Tests/Platform/TestPlatform.cpp
@@ -33,7 +33,7 @@
 TEST(WireFormat, ParsesRateLimits) {
   using Content = RateLimitReport::Content;
   const auto parse = [](const std::vector<std::string> &values) {
-    boost::beast::http::fields head;
+    HttpResponseHead head;
     for (const std::string &it : values)
       head.insert("server-limit", it);
     return platform::parseUpstreamNotice(head).RateLimit;
@@ -49,6 +49,26 @@
   EXPECT_EQ(parse({"1", "2"}).Kind, Content::Unusable);
 }
 
+// Guards against an upstream that says that it leaves, or wants nothing for a time, and isn't
+// heard, and against values that can't be read and keep requests away for ever.
+TEST(WireFormat, ParsesWhatUpstreamsAskFor) {
+  const auto parse = [](unsigned status, std::string_view name, const std::string &value) {
+    HttpResponseHead head;
+    head.result(status);
+    head.insert(name, value);
+    return platform::parseUpstreamNotice(head);
+  };
+  EXPECT_TRUE(parse(200, "server-leaving", "1").IsLeaving);
+  EXPECT_FALSE(parse(200, "Server-Leaving", "0").IsLeaving);
+  EXPECT_FALSE(parse(200, "Other", "1").IsLeaving);
+  EXPECT_EQ(parse(503, "Retry-After", "2").RetryAfter, 2s);
+  EXPECT_EQ(parse(503, "Retry-After", "0.25").RetryAfter, 250ms);
+  EXPECT_EQ(parse(503, "Retry-After", "1e300").RetryAfter, 1h);
+  EXPECT_FALSE(parse(200, "Retry-After", "2").RetryAfter);
+  for (const auto *text : {"", "-1", "0", "inf-", "nan", "soon", "Wed, 21 Oct 2026 07:28:00 GMT"})
+    EXPECT_FALSE(parse(503, "Retry-After", text).RetryAfter) << text;
+}
+
 // Guards against calls to an upstream whose record has a missing or invalid field.
 TEST(UpstreamCodec, RejectsInvalidRecords) {
   const std::string good =
