--- a/Libraries/LibBalance/BalanceTypes.h
+++ b/Libraries/LibBalance/BalanceTypes.h
@@ -14,6 +14,8 @@
 struct UpstreamInfo {
   /// Identifies one incarnation of the upstream; not reused during the lifetime of this process.
   UpstreamIndex Index;
+  /// Identifies this incarnation of the upstream in the same way on all VMs.
+  std::uint64_t FleetKey = 0;
   bool IsInLocalDataCentre = false;
   int Slots = 1;
   /// The upstream is expected to be slow until then because it has just started.
--- a/Libraries/LibBalance/UpstreamLimits.cpp
+++ b/Libraries/LibBalance/UpstreamLimits.cpp
@@ -14,6 +14,8 @@
 constexpr int MinShares = 2;
 // More shares would only cost time to determine their holders.
 constexpr int MaxShares = 96;
+// Any limit has about so many shares or more.
+constexpr int SharesOfUnknownLimit = 4;
 // Limits above this are not reached, and their products might overflow.
 constexpr double MaxRequestsPerSecond = 1e6;
 // VMs without a share of a limit together ask about so often whether it is still in force.
@@ -81,6 +83,10 @@
   return it == Limits.end() ? 0 : it->second.HeldShares;
 }
 
+bool UpstreamLimits::wouldHoldShares(std::uint64_t fleetKey) const {
+  return Assignment.heldShares(fleetKey, SharesOfUnknownLimit) > 0;
+}
+
 void UpstreamLimits::didAskToStayAway(UpstreamIndex upstream, Duration duration, TimePoint now) {
   // VMs that were rejected together must not return together.
   const Duration span = fromSeconds(toSeconds(duration) * (1 + ReturnJitter * Rng.unit()));
--- a/Libraries/LibBalance/UpstreamLimits.h
+++ b/Libraries/LibBalance/UpstreamLimits.h
@@ -41,6 +41,9 @@
   bool isRestricted(UpstreamIndex upstream, TimePoint now) const;
   /// Number of shares of the upstream's limit that this VM holds; 0 without a limit.
   int heldShares(UpstreamIndex upstream) const;
+  /// Whether this VM probably holds shares of the upstream's limit if it has one. A VM learns of
+  /// limits only from the upstreams that it works with.
+  bool wouldHoldShares(std::uint64_t fleetKey) const;
   /// Whether the upstream can take a request of this VM now.
   bool hasRoom(UpstreamIndex upstream, TimePoint now) const;
   /// Takes the room for one request. Always succeeds at an upstream without a limit.
--- a/Libraries/LibBalance/UpstreamSubset.cpp
+++ b/Libraries/LibBalance/UpstreamSubset.cpp
@@ -63,7 +63,9 @@
   for (const UpstreamInfo &it : upstreams) {
     if (limits.isWithheld(it.Index, now))
       continue;
-    (limits.heldShares(it.Index) > 0 ? held : others).push_back(it);
+    const bool isHeld = limits.requestsPerSecond(it.Index) ? limits.heldShares(it.Index) > 0
+                                                           : limits.wouldHoldShares(it.FleetKey);
+    (isHeld ? held : others).push_back(it);
   }
   // The balancer refuses requests with a better reason than that there is no upstream.
   if (held.empty() && others.empty())
--- a/Services/Gateway/ServiceTask.cpp
+++ b/Services/Gateway/ServiceTask.cpp
@@ -61,6 +61,7 @@
     if (Leaving.contains(known->FleetKey))
       continue;
     Known.push_back({.Index = known->Index,
+                     .FleetKey = known->FleetKey,
                      .IsInLocalDataCentre = record.DataCentre == DataCentre,
                      .Slots = record.Slots,
                      .WarmupEndsAt = known->WarmupEndsAt});
