Soak: Let upstreams name rate limits, ask for time and leave by their answers

Three promises more: rate-limit (bound of the rule, per upstream, over VMs without a recent fault), stay-away and leaving. These faults have a plan of their own, so that seeds keep their other faults. Each promise is broken on purpose in soak.planted and seen.

--- a/Meta/soak/__main__.py
+++ b/Meta/soak/__main__.py
@@ -74,13 +74,16 @@
         callers = [Caller(self.fleet, ZONES[n % 3], self.judge, new_random(self.options.seed, f"caller {n}"))
                    for n in range(self.options.callers)]
         loop_until = asyncio.get_running_loop().time() + self.options.seconds + RECOVERY_S
-        faults = () if self.options.calm else (plan.run(until),)
+        notices = Plan.of_notices(self, new_random(self.options.seed, "notices"))
+        faults = () if self.options.calm else (plan.run(until), notices.run(until))
         if self.options.silence:
             faults += (Silence(self, plan, new_random(self.options.seed, "silence")).run(until),)
         await asyncio.gather(*faults, self.watch_configuration(until, plan),
                              *(caller.run(loop_until, 0.2) for caller in callers))
         await self.check_recovery()
         self.judge.check_budget()
+        self.judge.check_limits()
+        self.judge.check_stay_away()
         return plan
 
     async def watch_configuration(self, until, plan):
--- a/Meta/soak/judge.py
+++ b/Meta/soak/judge.py
@@ -4,12 +4,19 @@
 import time
 
 PROMISES = ("own-answer", "whole-answer", "at-most-once", "not-run-is-true", "unasked", "draining", "configuration",
-            "repeat-budget", "graceful-stop", "recovery")
+            "repeat-budget", "graceful-stop", "recovery", "rate-limit", "stay-away", "leaving")
 DRAIN_S = 2.0
 CONFIG_S = 2.0
 BUDGET_WINDOW_S = 10.0
 BUDGET_RATIO = 0.2
 BUDGET_EXTRA = 56
+# Requests that an upstream gets in such a window of its limit: this factor of what the limit allows, and these in addition.
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA = 5
+# Requests that may reach an upstream from a VM that it has asked to stay away, after the time that the answer takes.
+STAY_AWAY_EXTRA = 2
+STAY_AWAY_SLACK_S = 0.5
 # What the judge itself takes to notice an event.
 SLACK_S = 0.3
 # A fault excuses what it concerns until this long after its end.
@@ -32,6 +39,13 @@
         self.arrivals = []
         self.sent = []
         self.outcomes = collections.Counter()
+        # Requests that reached an upstream, with the VM that sent them.
+        self.arrived = collections.defaultdict(list)
+        # Limits that an upstream named: begin, end, requests a second.
+        self.limits = collections.defaultdict(list)
+        # Times for which an upstream wants nothing from a VM, and when a VM passed on that an upstream leaves.
+        self.stay_away = []
+        self.told_leaving = {}
         # Faults by what they concern: ALL, the name of a VM, or that of an upstream whose link is harmed. Each has a begin
         # and an end; promises with a bound are not judged between them for what is concerned.
         self.faults = collections.defaultdict(list)
@@ -60,9 +74,55 @@
         return overlaps([span for spans in self.faults.values() for span in spans], begin, end)
 
     def did_send(self, attempt, kind, target, body, vm):
-        self.requests[attempt] = (kind, target, body, vm)
+        self.requests[attempt] = (kind, target, body, vm, time.monotonic())
         self.sent.append(time.monotonic())
 
+    def did_arrive(self, attempt, upstream):
+        now = time.monotonic()
+        known = self.requests.get(attempt)
+        if not known:
+            return
+        vm, sent_at = known[3], known[4]
+        self.arrived[upstream.name].append((now, vm))
+        told_at = self.told_leaving.get((vm, upstream.name))
+        if told_at and sent_at > told_at + DRAIN_S + SLACK_S and not self.is_excused((vm, upstream.name), told_at, now):
+            self.broke("leaving", f"{vm} sent {attempt} to {upstream.name} {sent_at - told_at:.2f} s after it said that it leaves")
+
+    def did_tell_leaving(self, attempt, upstream):
+        if known := self.requests.get(attempt):
+            self.told_leaving.setdefault((known[3], upstream.name), time.monotonic())
+
+    def did_reject(self, attempt, upstream):
+        if upstream.retry_after_s and (known := self.requests.get(attempt)):
+            now = time.monotonic()
+            self.stay_away.append((known[3], upstream.name, now + STAY_AWAY_SLACK_S, now + upstream.retry_after_s))
+
+    def begin_limit(self, upstream, per_s):
+        self.limits[upstream.name].append([time.monotonic(), float("inf"), per_s])
+
+    def end_limit(self, upstream):
+        self.limits[upstream.name][-1][1] = time.monotonic()
+
+    def is_excused(self, names, begin, end):
+        """Like `is_concerned`, but faults of the store excuse nothing."""
+        return overlaps([span for it in names for span in (*self.faults[it], *self.restarts[it])], begin, end)
+
+    def check_limits(self):
+        for name, spans in self.limits.items():
+            for begin, end, per_s in spans:
+                times = [t for t, vm in self.arrived[name]
+                         if begin + SETTLE_S <= t <= end and not self.is_excused((vm, name), t - SLACK_S, t)]
+                most = LIMIT_FACTOR * per_s * LIMIT_WINDOW_S + LIMIT_EXTRA
+                counts = [sum(1 for t in times if first <= t < first + LIMIT_WINDOW_S) for first in times]
+                if max(counts, default=0) > most:
+                    self.broke("rate-limit", f"{name} got {max(counts)} requests in 4 s, limit {per_s:.2f} a second")
+
+    def check_stay_away(self):
+        for vm, name, begin, end in self.stay_away:
+            count = sum(1 for t, it in self.arrived[name] if it == vm and begin <= t < end)
+            if count > STAY_AWAY_EXTRA and not self.is_excused((vm, name), begin - STAY_AWAY_SLACK_S, end):
+                self.broke("stay-away", f"{vm} sent {count} requests to {name}, which wanted nothing for {end - begin:.1f} s")
+
     def did_run(self, attempt, upstream, message):
         now = time.monotonic()
         known = self.requests.get(attempt)
--- a/Meta/soak/plan.py
+++ b/Meta/soak/plan.py
@@ -44,11 +44,21 @@
         self.soak, self.rng, self.judge = soak, rng, soak.judge
         self.versions = [1]
         self.log = []
+        # Seconds between the beginnings of two faults.
+        self.pause_s = (0.3, 1.5)
         self.faults = (self.kill_vm, self.pause_vm, self.stop_vm, self.stop_vm, self.store_fault, self.store_for_some,
                        self.forget, self.reset_links, self.silence_links, self.cut_link, self.delay_links,
                        self.spoil_answers, self.lose_answers, self.shed, self.crash_upstream, self.drain_upstream,
                        self.drain_upstream, self.configure, self.configure, self.change_settings, self.kill_many)
 
+    @classmethod
+    def of_notices(cls, soak, rng):
+        """What upstreams say in their answers. A plan of its own, so that seeds keep their other faults."""
+        plan = cls(soak, rng)
+        plan.pause_s = (2, 6)
+        plan.faults = (plan.name_limits, plan.name_limits, plan.ask_for_time, plan.leave_upstream)
+        return plan
+
     @property
     def version(self):
         return self.versions[-1]
@@ -56,7 +66,7 @@
     async def run(self, until):
         running = []
         while time.monotonic() < until:
-            await asyncio.sleep(self.rng.uniform(0.3, 1.5))
+            await asyncio.sleep(self.rng.uniform(*self.pause_s))
             fault = self.rng.choice(self.faults)
             self.log.append((round(time.monotonic() - self.soak.began, 2), fault.__name__))
             running.append(asyncio.ensure_future(fault()))
@@ -154,6 +164,33 @@
         for upstream in some:
             setattr(upstream, fault, 0.0)
 
+    async def name_limits(self):
+        some = [u for u in self.soak.upstreams if u.limit is None and self.rng.random() < 0.6]
+        for upstream in some:
+            upstream.limit = self.rng.choice((0.3, 1.0, 3.0, 10.0))
+            self.judge.begin_limit(upstream, upstream.limit)
+        await asyncio.sleep(self.rng.uniform(3, 12))
+        for upstream in some:
+            upstream.limit = None
+            self.judge.end_limit(upstream)
+
+    async def ask_for_time(self):
+        some = [u for u in self.soak.upstreams if self.rng.random() < 0.5]
+        for upstream in some:
+            upstream.shed, upstream.retry_after_s = self.rng.uniform(0, 0.5), self.rng.uniform(0.3, 4)
+        await asyncio.sleep(self.rng.uniform(1, 4))
+        for upstream in some:
+            upstream.shed = upstream.retry_after_s = 0.0
+
+    async def leave_upstream(self):
+        """An upstream leaves and says so in its answers, but not in the store."""
+        upstream = self.rng.choice(self.soak.upstreams)
+        upstream.leaving = True
+        await asyncio.sleep(self.rng.uniform(3, 7))
+        self.soak.store.remove(f"servers/{upstream.name}")
+        upstream.crash()
+        await self.soak.replace(upstream)
+
     async def crash_upstream(self):
         upstream = self.rng.choice(self.soak.upstreams)
         upstream.crash()
--- a/Meta/soak/planted.py
+++ b/Meta/soak/planted.py
@@ -63,6 +63,23 @@
         it.did_run("x", Place, message())
     it.check_budget()
     yield "repeat-budget", it
+    # The limit was named long before, so that VMs know it.
+    it = judge()
+    it.limits["i-1"].append([time.monotonic() - 5, float("inf"), 1.0])
+    for _ in range(12):
+        it.did_arrive("x", Place)
+    it.check_limits()
+    yield "rate-limit", it
+    it = judge()
+    it.stay_away.append(("vm-1", "i-1", time.monotonic() - 1, time.monotonic() + 1))
+    for _ in range(3):
+        it.did_arrive("x", Place)
+    it.check_stay_away()
+    yield "stay-away", it
+    it = judge()
+    it.told_leaving[("vm-1", "i-1")] = time.monotonic() - 3
+    it.did_arrive("x", Place)
+    yield "leaving", it
 
 
 def main():
--- a/Meta/soak/upstream.py
+++ b/Meta/soak/upstream.py
@@ -30,6 +30,11 @@
         self.connections = set()
         # Shares of answers that are lost after the run, broken off, or followed by another one.
         self.lost = self.broken = self.extra = self.shed = 0.0
+        # What all answers say: requests a second from all VMs, and that the upstream is leaving.
+        self.limit = None
+        self.leaving = False
+        # Seconds that rejections name.
+        self.retry_after_s = 0.0
 
     def entry(self, state="ready"):
         return {"service": self.service, "address": self.listed_address, "zone": self.zone, "version": "v1",
@@ -52,6 +57,10 @@
     def load(self):
         return f"{self.running},{len(self.waiting)},{SLOTS},{int(100 * self.slow)}"
 
+    def notices(self):
+        fields = {"Server-Limit": f"{self.limit:.2f}"} if self.limit is not None else {}
+        return {**fields, "Server-Leaving": "1"} if self.leaving else fields
+
     async def serve(self, reader, writer):
         self.connections.add(writer)
         try:
@@ -68,15 +77,19 @@
         """Whether the connection may go on."""
         if message.first[1] == "/health":
             writer.write(wire.response(200, b"ok", {"X-Wigeonlift-Instance-Id": self.name,
-                                                    "X-Wigeonlift-Upstream-Load": self.load()}))
+                                                    "X-Wigeonlift-Upstream-Load": self.load(),
+                                                    **self.notices()}))
             return True
         attempt = message.get("X-Wigeonlift-Attempt-Id")
-        echo = {"X-Wigeonlift-Attempt-Id": attempt, "X-Wigeonlift-Upstream-Load": self.load()}
+        echo = {"X-Wigeonlift-Attempt-Id": attempt, "X-Wigeonlift-Upstream-Load": self.load(), **self.notices()}
         if message.get("X-Wigeonlift-Expected-Instance", self.name) != self.name:
             writer.write(wire.response(421, b"", {"X-Wigeonlift-Instance-Id": self.name}))
             return True
+        self.judge.did_arrive(attempt, self)
         if self.rng.random() < self.shed:
-            writer.write(wire.response(503, b"", {**echo, "X-Wigeonlift-Not-Executed": "1"}))
+            wait = {"Retry-After": f"{self.retry_after_s:.2f}"} if self.retry_after_s else {}
+            self.judge.did_reject(attempt, self)
+            writer.write(wire.response(503, b"", {**echo, **wait, "X-Wigeonlift-Not-Executed": "1"}))
             return True
         if self.running >= SLOTS and len(self.waiting) >= QUEUE:
             await asyncio.sleep(30)
@@ -97,13 +110,15 @@
             wire.reset(writer)
             return False
         fields = {"X-Wigeonlift-Attempt-Id": attempt, "X-Wigeonlift-Response-Seal": seal(attempt, body),
-                  "X-Wigeonlift-Upstream-Load": self.load(), "Keep-Alive": "timeout=10"}
+                  "X-Wigeonlift-Upstream-Load": self.load(), "Keep-Alive": "timeout=10", **self.notices()}
         answer = wire.response(200, body, fields)
         if draw < self.lost + self.broken:
             writer.write(answer[:len(answer) // 2])
             await writer.drain()
             return False
         writer.write(answer)
+        if self.leaving:
+            self.judge.did_tell_leaving(attempt, self)
         if draw < self.lost + self.broken + self.extra:
             await asyncio.sleep(self.rng.uniform(0, 0.2))
             writer.write(answer)
