LibBalance: Mend what a reading of the change found

Times for which upstreams want nothing were kept after they had passed, so subsets were chosen again each second for ever, and included upstreams of probable shares although no limit was named. A limit that can't be read was logged with each answer; now once for each upstream until it changes. When a request is refused as late stood twice; it is decided in latestStart alone. Two casts that the linter rejects.

--- a/Libraries/LibBalance/Placement.cpp
+++ b/Libraries/LibBalance/Placement.cpp
@@ -46,20 +46,11 @@
   return now + workTime(request) > request.Spec.Objective;
 }
 
-bool ServiceBalancer::shouldRefuse(const Request &request, TimePoint now) const {
-  if (now + workTime(request) > request.Spec.Deadline)
-    return true;
-  // Refuses late requests without any attempt well before their deadline, so that the caller has
-  // time to retry. Requests that were attempted stay until they can no longer meet the deadline.
-  const Duration allowedTime = request.Spec.Deadline - request.Spec.ArrivedAt;
-  const Duration waited = now - request.Spec.ArrivedAt;
-  return request.TriedUpstreams.empty() && isLate(request, now) &&
-         toSeconds(waited) > MinWaitFractionBeforeRefusal * toSeconds(allowedTime);
-}
-
 TimePoint ServiceBalancer::latestStart(const Request &request) const {
   const Duration expectedWork = workTime(request);
   const TimePoint lastForDeadline = request.Spec.Deadline - expectedWork;
+  // Requests that were attempted stay until they can no longer meet the deadline. Late requests
+  // without any attempt are refused well before it, so that the caller has time to retry.
   if (!request.TriedUpstreams.empty())
     return lastForDeadline;
   const Duration allowedTime = request.Spec.Deadline - request.Spec.ArrivedAt;
@@ -131,7 +122,7 @@
 
 bool ServiceBalancer::tryPlace(Request &request, std::size_t requestsAhead, TimePoint now,
                                BalanceCommands &out) {
-  if (request.RunningAttempts.empty() && shouldRefuse(request, now)) {
+  if (request.RunningAttempts.empty() && now > latestStart(request)) {
     refuse(request,
            request.PossibleExecutions > 0 ? FailureKind::ConnectionLost : FailureKind::Overloaded,
            now, out);
--- a/Libraries/LibBalance/ServiceBalancer.cpp
+++ b/Libraries/LibBalance/ServiceBalancer.cpp
@@ -23,6 +23,7 @@
 
 void ServiceBalancer::setUpstreams(std::span<const UpstreamInfo> upstreams, TimePoint now,
                                    BalanceCommands &out) {
+  Limits.expire(now);
   std::set<UpstreamIndex> listed;
   for (const UpstreamInfo &it : upstreams) {
     listed.insert(it.Index);
--- a/Libraries/LibBalance/ServiceBalancer.h
+++ b/Libraries/LibBalance/ServiceBalancer.h
@@ -182,7 +182,6 @@
   Duration workTime(const Request &request) const;
   /// The request can no longer meet its objective.
   bool isLate(const Request &request, TimePoint now) const;
-  bool shouldRefuse(const Request &request, TimePoint now) const;
   /// When the rate limits of the upstreams first have room for the request, if it is known that
   /// this is too late for it.
   std::optional<TimePoint> roomIfTooLate(const Request &request, std::size_t requestsAhead,
--- a/Libraries/LibBalance/UpstreamLimits.cpp
+++ b/Libraries/LibBalance/UpstreamLimits.cpp
@@ -14,7 +14,7 @@
 constexpr int MinShares = 2;
 // More shares would only cost time to determine their holders.
 constexpr int MaxShares = 96;
-// Any limit has about so many shares or more.
+// Most limits have so many shares or more.
 constexpr int SharesOfUnknownLimit = 4;
 // Limits above this are not reached, and their products might overflow.
 constexpr double MaxRequestsPerSecond = 1e6;
@@ -99,6 +99,10 @@
   StayAwayUntil.erase(upstream);
 }
 
+void UpstreamLimits::expire(TimePoint now) {
+  std::erase_if(StayAwayUntil, [&](const auto &it) { return now >= it.second; });
+}
+
 bool UpstreamLimits::wantsNothing(UpstreamIndex upstream, TimePoint now) const {
   const auto it = StayAwayUntil.find(upstream);
   return it != StayAwayUntil.end() && now < it->second;
--- a/Libraries/LibBalance/UpstreamLimits.h
+++ b/Libraries/LibBalance/UpstreamLimits.h
@@ -28,6 +28,8 @@
   /// The upstream wants nothing from this VM for so long. Doesn't shorten an earlier time.
   void didAskToStayAway(UpstreamIndex upstream, Duration duration, TimePoint now);
   void forget(UpstreamIndex upstream);
+  /// Forgets times that have passed.
+  void expire(TimePoint now);
   void setAssignment(const ShareAssignment &assignment, TimePoint now);
 
   /// Requests per second that the upstream accepts from the fleet; empty if it names no limit.
--- a/Libraries/LibBudget/RepeatBudget.cpp
+++ b/Libraries/LibBudget/RepeatBudget.cpp
@@ -70,7 +70,8 @@
   double least = std::numeric_limits<double>::max();
   for (int age = 0; age <= window; ++age) {
     // The bucket in which the window begins counts for the repeats, but not for the requests.
-    const int repeats = recentRepeats[static_cast<std::size_t>(age + 1 + ArrivalSlackBuckets)];
+    const int buckets = age + 1 + ArrivalSlackBuckets;
+    const int repeats = recentRepeats[static_cast<std::size_t>(buckets)];
     const double requests = requestsOfWindow(age, recentRequests);
     least = std::min(least, SafetyFactor * (Ratio * requests + allowance) - repeats);
   }
@@ -93,15 +94,15 @@
 
 RepeatBudget::Bucket &RepeatBudget::bucketAt(TimePoint now) {
   const std::int64_t number = bucketNumber(now);
-  const auto kept = static_cast<std::size_t>(2 * windowBuckets());
+  const int kept = 2 * windowBuckets();
   // After a long time without events, all counts are out of date.
-  if (Buckets.empty() || number - LastBucket >= static_cast<std::int64_t>(kept)) {
+  if (Buckets.empty() || number - LastBucket >= kept) {
     Buckets.assign(1, {});
     LastBucket = number;
   }
   for (; LastBucket < number; ++LastBucket)
     Buckets.emplace_back();
-  while (Buckets.size() > kept)
+  while (std::ssize(Buckets) > kept)
     Buckets.pop_front();
   return Buckets.back();
 }
--- a/Services/Gateway/ServiceTask.cpp
+++ b/Services/Gateway/ServiceTask.cpp
@@ -75,8 +75,10 @@
   std::erase_if(ByIndex, [&](const auto &it) {
     const auto known = Upstreams.find(it.second->Record.Id);
     const bool hasLeft = known == Upstreams.end() || known->second != it.second;
-    if (hasLeft)
+    if (hasLeft) {
       Balancer.upstreamLeft(it.first);
+      UnreadableLimits.erase(it.first);
+    }
     return hasLeft;
   });
   useSubset();
@@ -187,7 +189,10 @@
   const TimePoint now = bootTimeNow();
   const UpstreamNotice notice = platform::parseUpstreamNotice(head);
   const bool hasChanged = Balancer.noticeReceived(upstream.Index, upstream.FleetKey, notice, now);
-  if (hasChanged || notice.RateLimit.Kind == RateLimitReport::Content::Unusable)
+  const bool isUnreadable = notice.RateLimit.Kind == RateLimitReport::Content::Unusable;
+  const bool isNews = isUnreadable ? UnreadableLimits.insert(upstream.Index).second
+                                   : UnreadableLimits.erase(upstream.Index) > 0 || hasChanged;
+  if (isNews)
     Log.didReportRateLimit(Name, upstream.Record.Id, notice.RateLimit);
   if (notice.RetryAfter)
     Log.didAskToStayAway(Name, upstream.Record.Id, *notice.RetryAfter);
--- a/Services/Gateway/ServiceTask.h
+++ b/Services/Gateway/ServiceTask.h
@@ -13,6 +13,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -94,6 +95,8 @@
   /// All upstreams of the service; the balancer works with a subset.
   std::vector<UpstreamInfo> Known;
   LeavingUpstreams Leaving;
+  /// Upstreams whose last response named a limit that can't be read. Logged once each.
+  std::set<UpstreamIndex> UnreadableLimits;
   double RequestShare = 1;
   std::string HealthPath = "/health";
   int ConnectionLimit = 64;
