--- a/Libraries/LibBalance/UpstreamLimits.h
+++ b/Libraries/LibBalance/UpstreamLimits.h
@@ -48,12 +48,12 @@
   bool wouldHoldShares(std::uint64_t fleetKey) const;
   /// Whether the upstream can take a request of this VM now.
   bool hasRoom(UpstreamIndex upstream, TimePoint now) const;
-  /// Takes the room for one request. Always succeeds at an upstream without a limit.
+  /// Takes the room for one request. Always succeeds at an upstream that isn't restricted.
   bool take(UpstreamIndex upstream, TimePoint now);
   /// Whether a question for the load of the upstream is of use: it has room for a request, or it is
   /// time to find out whether the limit is still in force.
   bool mayProbe(UpstreamIndex upstream, TimePoint now) const;
-  /// Whether this VM can't send requests to the upstream until its limit or the fleet changes.
+  /// Whether this VM has no part of the upstream's limit, or the upstream wants nothing for now.
   bool isWithheld(UpstreamIndex upstream, TimePoint now) const;
   /// When one of the restricted upstreams has room for a request behind `callsAhead` others.
   /// `TimePoint::max()` if that never happens.
