Tests: Show that an upstream that asks for time would get requests otherwise

The test passed with the time ignored, since the balancer preferred the other upstream anyway. Now the only upstream rejects one request and would take the next.

--- a/Tests/Gateway/TestUpstreamNotices.cpp
+++ b/Tests/Gateway/TestUpstreamNotices.cpp
@@ -100,20 +100,25 @@
   EXPECT_EQ(statusOf(*ask(callerRequest("GET", "/look/1", "attempt-2"))), 200);
 }
 
-// Guards against requests to an upstream that has turned one away and asked for time.
+// Guards against requests to an upstream that has turned one away and asked for time, although it
+// would take them.
 TEST_F(GatewayFixture, UpstreamsThatAskForTimeGetIt) {
-  const auto rejects = [](const std::string &attemptId) -> FakeReply {
+  int arrivals = 0;
+  const auto rejectsFirst = [&](const std::string &attemptId) -> FakeReply {
+    if (arrivals++ > 0)
+      return success(attemptId);
     return {fmt::format("HTTP/1.1 503 X\r\nContent-Length: 0\r\nRetry-After: 30\r\n{}: {}\r\n"
                         "{}: full\r\n\r\n",
                         platform::AttemptIdHeader, attemptId, platform::NotExecutedHeader)};
   };
-  PlatformUpstream upstream{Context, "i-1", rejects};
-  PlatformUpstream other{Context, "i-2", success};
-  configure({&upstream, &other});
-  for (int n = 0; n < 20; ++n)
-    EXPECT_EQ(statusOf(*ask(callerRequest("POST", "/record/1", fmt::format("attempt-{}", n), "x"))),
-              200);
-  EXPECT_LE(upstream.requests().size(), 1U);
+  PlatformUpstream upstream{Context, "i-1", rejectsFirst};
+  configure({&upstream});
+  for (int n = 0; n < 5; ++n) {
+    const auto caller = ask(callerRequest("POST", "/record/1", fmt::format("attempt-{}", n), "x"));
+    EXPECT_EQ(statusOf(*caller), 503);
+    EXPECT_FALSE(caller->header("Retry-After").empty());
+  }
+  EXPECT_EQ(upstream.requests().size(), 1U);
 }
 
 } // namespace wigeonlift
