--- a/review/standins/stage.py
+++ b/review/standins/stage.py
@@ -110,12 +110,18 @@
 
 
 class Store:
-    """The platform's metadata store. `silent` takes every call and answers none, as a store that is down."""
+    """The platform's metadata store. While it is down it takes calls and answers none, and the calls that wait are lost."""
 
     def __init__(self, host, record):
         self.host, self.port, self.record = host, 8541, record
         self.items, self.history, self.revision = {}, [], 10
-        self.changed, self.silent = asyncio.Event(), False
+        self.changed, self.silent, self.outages = asyncio.Event(), False, 0
+
+    def go_down(self):
+        self.silent, self.outages = True, self.outages + 1
+
+    def come_back(self):
+        self.silent = False
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.host, self.port)
@@ -140,12 +146,11 @@
     async def serve(self, reader, writer):
         try:
             while (message := await read_message(reader)) is not None:
-                was_silent = self.silent
+                was_silent, outages = self.silent, self.outages
                 path, _, text = message.first[1].partition("?")
                 query = dict(urllib.parse.parse_qsl(text, keep_blank_values=True))
                 answer = await self.answer(path, query)
-                # A call that the store got or would have answered while it was down gets no answer.
-                if was_silent or self.silent:
+                if was_silent or outages != self.outages:
                     await asyncio.sleep(HANG_S)
                 await asyncio.sleep(0.004)
                 writer.write(answer)
@@ -233,11 +238,12 @@
         if self.waiting >= 6:
             return response(503, b"", {**echo, "X-Wigeonlift-Not-Executed": "1"})
         self.waiting += 1
+        arrived = time.monotonic()
         async with self.free:
             self.waiting -= 1
             self.running += 1
             try:
-                self.runs.append((attempt, time.monotonic()))
+                self.runs.append((attempt, arrived))
                 self.record.say("run", attempt, "at", self.name, message.first[0], message.first[1], f"{message.length} bytes")
                 await asyncio.sleep(self.work_s)
             finally:
@@ -388,7 +394,7 @@
     lines = [f"{method} {target} HTTP/1.1", f"Host: {HOST}", f"X-Wigeonlift-Attempt-Id: {attempt}",
              f"X-Wigeonlift-Deadline-Remaining: {deadline_ms}"]
     lines += [f"{name}: {value}" for name, value in (fields or {}).items()]
-    if method == "POST" and "Transfer-Encoding" not in (fields or {}):
+    if method == "POST" and not {"Transfer-Encoding", "Content-Length"} & set(fields or {}):
         lines.append(f"Content-Length: {len(body)}")
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
