--- a/review/standins/stage.py
+++ b/review/standins/stage.py
@@ -109,6 +109,17 @@
     return hashlib.sha256(attempt.encode() + body).hexdigest()[:24]
 
 
+def first_part(items, most=500, most_bytes=1_000_000):
+    """What one answer of the store holds: at most about 500 items or 1 MB, and one at least."""
+    part, size = [], 0
+    for it in items[:most]:
+        size += len(it.get("value", ""))
+        if part and size > most_bytes:
+            break
+        part.append(it)
+    return part
+
+
 class Store:
     """The platform's metadata store. While it is down it takes calls and answers none, and the calls that wait are lost."""
 
@@ -132,9 +143,12 @@
         self.changed = asyncio.Event()
 
     def put(self, key, value):
+        self.put_bytes(key, json.dumps(value).encode())
+
+    def put_bytes(self, key, value):
         self.revision += 1
         created = self.items[key]["create-revision"] if key in self.items else self.revision
-        self.items[key] = {"key": key, "value": base64.b64encode(json.dumps(value).encode()).decode(),
+        self.items[key] = {"key": key, "value": base64.b64encode(value).decode(),
                            "revision": self.revision, "create-revision": created, "lease": 0}
         self.note(self.items[key])
 
@@ -166,7 +180,8 @@
             return response(200, json.dumps({**item, "as-of": self.revision}).encode()) if item else response(404)
         if path == "/v1/kv-range":
             keys = sorted(k for k in self.items if k.startswith(query.get("prefix", "")) and k > query.get("after", ""))
-            return response(200, json.dumps({"items": [self.items[k] for k in keys[:500]], "has-more": len(keys) > 500,
+            items = first_part([self.items[k] for k in keys])
+            return response(200, json.dumps({"items": items, "has-more": len(items) < len(keys),
                                              "as-of": self.revision}).encode())
         if path == "/v1/kv-watch":
             end = time.monotonic() + int(query["wait-ms"]) / 1000
@@ -174,7 +189,9 @@
                 events = [e for e in self.history if e["revision"] > int(query["after"])]
                 left = end - time.monotonic()
                 if events or left <= 0:
-                    return response(200, json.dumps({"events": events, "as-of": self.revision}).encode())
+                    part = first_part(events)
+                    as_of = part[-1]["revision"] if len(part) < len(events) else self.revision
+                    return response(200, json.dumps({"events": part, "as-of": as_of}).encode())
                 changed = self.changed
                 try:
                     await asyncio.wait_for(changed.wait(), left)
