Gateway: Answer whatever was read before a stop ends

A closed connection promises nothing, so non-idempotent ones could not be repeated.

Cause: the end of the grace time limited the deadline only of requests that were read after the SIGTERM. Those that waited already, in a service's queue, behind others on their connection, in its buffer or for the first configuration, kept their own; a connection closed behind its first answer, whatever had arrived there; and a body that came late was passed on.

Pipelined requests may overtake during a stop, since the first answer no longer closes.

GatewayFixture.AStopAnswersAllPipelinedRequestsThatWerePassedOn asked that requests which had been read behind others be dropped at the close. That is the fault; its successor asks for the answers to all four, and for the close behind the last. RequestPipeline::hasStartedBehindFront is used no more and gone; its test now asks for what is started.

--- a/Libraries/LibBalance/ServiceBalancer.cpp
+++ b/Libraries/LibBalance/ServiceBalancer.cpp
@@ -44,6 +44,13 @@
   ProbeRate.setRate(probesPerSecond, ProbeBurstSpan, now);
 }
 
+void ServiceBalancer::setLatestDeadline(TimePoint latest, TimePoint now, BalanceCommands &out) {
+  LatestDeadline = latest;
+  for (auto &[id, request] : Requests)
+    request.Spec.Deadline = std::min(request.Spec.Deadline, latest);
+  dispatchQueue(now, out);
+}
+
 void ServiceBalancer::requestArrived(const RequestSpec &spec, TimePoint now, BalanceCommands &out) {
   ++Counts.Requests;
   RetryLimiter.didRequest(now);
@@ -51,7 +58,8 @@
   if (!isNew)
     return;
   it->second.Spec = spec;
-  if (now >= spec.Deadline)
+  it->second.Spec.Deadline = std::min(spec.Deadline, LatestDeadline);
+  if (now >= it->second.Spec.Deadline)
     return refuse(it->second, FailureKind::DeadlineExceeded, now, out);
   if (Upstreams.empty())
     return refuse(it->second, FailureKind::NoUpstream, now, out);
--- a/Libraries/LibBalance/ServiceBalancer.h
+++ b/Libraries/LibBalance/ServiceBalancer.h
@@ -80,6 +80,10 @@
   /// Sets how many probes per second this VM may send to all upstreams of the service together.
   void setProbeRate(double probesPerSecond, TimePoint now);
 
+  /// Sets when the responses to all requests must have left, to those that are tracked and to later
+  /// ones. Earlier deadlines of their own remain.
+  void setLatestDeadline(TimePoint latest, TimePoint now, BalanceCommands &out);
+
   void requestArrived(const RequestSpec &spec, TimePoint now, BalanceCommands &out);
   void callerLeft(CallId id, TimePoint now, BalanceCommands &out);
 
@@ -115,6 +119,7 @@
   Duration meanWorkTime() const { return WorkTimes.mean(); }
   double typicalSlowness() const { return TypicalSlowness; }
   double remainingRetries(TimePoint now) const { return RetryLimiter.remaining(now); }
+  TimePoint latestDeadline() const { return LatestDeadline; }
   std::size_t queuedRequests() const { return Queue.size(); }
   std::size_t runningAttempts() const { return Attempts.size(); }
 
@@ -246,6 +251,7 @@
   double MeanFailureScore = 0;
   /// Moving average of the slowness that probe responses report.
   double TypicalSlowness = 1.5;
+  TimePoint LatestDeadline = TimePoint::max();
   std::uint64_t LastAttemptId = 0;
   std::uint64_t LastProbeId = 0;
   BalanceCounts Counts;
--- a/Libraries/LibHttp/CallerConnection.cpp
+++ b/Libraries/LibHttp/CallerConnection.cpp
@@ -84,14 +84,18 @@
     Reader->Buffer.commit(n);
   }
   IsBetweenRequests = false;
+  IsReadingHead = true;
   ReadExpiresAt = bootTimeNow() + Limits.Head;
-  while (!parser.is_header_done()) {
+  ReadResult result = ReadResult::Complete;
+  while (result == ReadResult::Complete && !parser.is_header_done()) {
     const auto [ec, n] = co_await http::async_read_some(Socket, Reader->Buffer, parser, Completion);
     if (ec && !(ec == http::error::need_buffer && parser.is_header_done()))
-      co_return toResult(ec);
+      result = toResult(ec);
   }
-  ReadExpiresAt = TimePoint::max();
-  co_return ReadResult::Complete;
+  IsReadingHead = false;
+  if (result == ReadResult::Complete)
+    ReadExpiresAt = TimePoint::max();
+  co_return result;
 }
 
 const HttpRequestHead &CallerConnection::head() const { return Reader->Request->get().base(); }
@@ -242,8 +246,11 @@
 }
 
 bool CallerConnection::isIdleSince(TimePoint time) {
-  return IsBetweenRequests && Unanswered == 0 && IdleSince < time && Reader->Buffer.size() == 0 &&
-         !hasPendingInput(Socket);
+  return IsBetweenRequests && IdleSince < time && !isBusy();
+}
+
+bool CallerConnection::hasUnreadInput() {
+  return IsReadingHead || Reader->Buffer.size() > 0 || hasPendingInput(Socket);
 }
 
 void CallerConnection::closeSending() {
--- a/Libraries/LibHttp/CallerConnection.h
+++ b/Libraries/LibHttp/CallerConnection.h
@@ -92,6 +92,11 @@
   /// Tells the number of requests that were read and not yet answered. The connection is idle only
   /// when there are none.
   void setUnanswered(std::size_t count, TimePoint now);
+  /// Whether bytes have arrived that belong to a later request than the last one whose head was
+  /// read.
+  bool hasUnreadInput();
+  /// Whether requests that have arrived are unanswered.
+  bool isBusy() { return Unanswered > 0 || hasUnreadInput(); }
   /// Ends the responses; the caller's bytes can still be read.
   void closeSending();
   void close();
@@ -114,6 +119,8 @@
   std::size_t Unanswered = 0;
   /// No byte of the next request has arrived.
   bool IsBetweenRequests = true;
+  /// Bytes of the next request have arrived, but not all of its head.
+  bool IsReadingHead = false;
   bool DidContinue = false;
 };
 
--- a/Libraries/LibHttp/CallerServer.cpp
+++ b/Libraries/LibHttp/CallerServer.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <exception>
 #include <utility>
 
@@ -69,6 +70,10 @@
     it->close();
 }
 
+bool CallerServer::isBusy() const {
+  return std::ranges::any_of(Connections, [](const auto &it) { return it->isBusy(); });
+}
+
 asio::awaitable<void> CallerServer::acceptLoop() {
   while (Acceptor.is_open()) {
     auto [ec, socket] = co_await Acceptor.async_accept(Completion);
--- a/Libraries/LibHttp/CallerServer.h
+++ b/Libraries/LibHttp/CallerServer.h
@@ -36,6 +36,8 @@
   void closeIdleSince(TimePoint time);
   /// Closes all connections.
   void closeAll();
+  /// Whether any caller waits for the answer to a request that has arrived.
+  bool isBusy() const;
   int connections() const { return static_cast<int>(Connections.size()); }
 
 private:
--- a/Libraries/LibPipeline/RequestPipeline.cpp
+++ b/Libraries/LibPipeline/RequestPipeline.cpp
@@ -34,11 +34,6 @@
   return PipelinePosition{Answered + 1};
 }
 
-bool RequestPipeline::hasStartedBehindFront() const {
-  // Requests start in order, so the second one tells for all.
-  return Entries.size() > 1 && Entries[1].IsStarted;
-}
-
 void RequestPipeline::didAnswerFront() {
   BodyBytes -= Entries.front().BodyBytes;
   Entries.pop_front();
--- a/Libraries/LibPipeline/RequestPipeline.h
+++ b/Libraries/LibPipeline/RequestPipeline.h
@@ -27,9 +27,8 @@
   std::size_t BodyBytes = std::size_t{1024} * 1024;
 };
 
-/// Decides the order of pipelined requests on one connection: which may be read, which may start,
-/// and which response closes the connection. Responses are written in the order of the requests
-/// (RFC 9112, 9.3.2). Performs no I/O.
+/// Decides the order of pipelined requests on one connection: which may be read and which may
+/// start. Responses are written in the order of the requests (RFC 9112, 9.3.2). Performs no I/O.
 class RequestPipeline {
 public:
   explicit RequestPipeline(const PipelineLimits &limits = {}) : Limits(limits) {}
@@ -42,9 +41,6 @@
   std::vector<PipelinePosition> takeStartable(bool mayOvertake);
   /// The request whose response is written next.
   std::optional<PipelinePosition> front() const;
-  /// Whether a request behind the first unanswered one has started. Its caller would have to repeat
-  /// it if the connection closed after the first response.
-  bool hasStartedBehindFront() const;
   /// The response to the first request has been written.
   void didAnswerFront();
   std::size_t unanswered() const { return Entries.size(); }
--- a/Services/Gateway/CallerSession.cpp
+++ b/Services/Gateway/CallerSession.cpp
@@ -118,8 +118,7 @@
 }
 
 bool CallerSession::mayOvertake() const {
-  // The answer to the first request closes the connection while this VM stops.
-  return !Owner.isStopping() && Owner.heldAnswerMemory().room() >= MaxWaitingAnswerBytes;
+  return Owner.heldAnswerMemory().room() >= MaxWaitingAnswerBytes;
 }
 
 void CallerSession::startRequests() {
@@ -178,8 +177,8 @@
 }
 
 bool CallerSession::closesAfterFront() const {
-  return Pending.front().EndsConnection ||
-         (Owner.isStopping() && !Pipeline.hasStartedBehindFront());
+  const bool isLast = Pending.size() == 1 && !Intake.isReceiving() && !Caller->hasUnreadInput();
+  return Pending.front().EndsConnection || (Owner.isStopping() && isLast);
 }
 
 void CallerSession::didAnswerFront() {
--- a/Services/Gateway/Daemon.cpp
+++ b/Services/Gateway/Daemon.cpp
@@ -20,7 +20,7 @@
 
 constexpr auto Completion = asio::as_tuple(asio::use_awaitable);
 constexpr auto MaintenanceInterval = std::chrono::seconds{1};
-constexpr auto StopCheckInterval = std::chrono::milliseconds{100};
+constexpr auto StopCheckInterval = std::chrono::milliseconds{50};
 // Answers that are on their way when the listener closes.
 constexpr Duration StopIdle = std::chrono::milliseconds{300};
 constexpr std::uint16_t MetricsPort = 9464;
@@ -113,8 +113,7 @@
   timer.expires_after(Core.stopPlan().refuseFrom() - bootTimeNow());
   co_await timer.async_wait(Completion);
   Callers.stopAccepting();
-  const TimePoint end = Core.stopPlan().end();
-  while (Callers.connections() > 0 && bootTimeNow() < end) {
+  while (mayServeOn(bootTimeNow())) {
     timer.expires_after(StopCheckInterval);
     co_await timer.async_wait(Completion);
     Callers.closeIdleSince(bootTimeNow() - StopIdle);
@@ -122,6 +121,12 @@
   Context.stop();
 }
 
+bool Daemon::mayServeOn(TimePoint now) const {
+  const StopPlan &plan = Core.stopPlan();
+  return Callers.connections() > 0 &&
+         (now < plan.end() || (Callers.isBusy() && now < plan.lastEnd()));
+}
+
 void Daemon::reload() {
   const auto text = readFile(SettingsFile);
   if (!text || *text == SettingsText)
--- a/Services/Gateway/Daemon.h
+++ b/Services/Gateway/Daemon.h
@@ -28,6 +28,8 @@
   boost::asio::awaitable<void> waitForSignals();
   boost::asio::awaitable<void> maintainRegularly();
   boost::asio::awaitable<void> stop();
+  /// Whether a stopping process still has callers to serve, and time for it.
+  bool mayServeOn(TimePoint now) const;
   void reload();
 
   boost::asio::io_context Context{1};
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -46,12 +46,18 @@
 
 asio::awaitable<void> Gateway::awaitConfiguration(TimePoint end) {
   asio::steady_timer timer{Context};
-  while (!Plans.current() && bootTimeNow() < end) {
+  while (!Plans.current() && !isStopping() && bootTimeNow() < end) {
     timer.expires_after(ConfigurationCheckInterval);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
 }
 
+void Gateway::beginStop(TimePoint now) {
+  Stop.begin(now, Settings.Bounds.StopGrace);
+  for (const auto &[name, task] : Services)
+    task->setLatestDeadline(Stop.answersDue());
+}
+
 void Gateway::didLearn(std::span<const StoreItem> changes, std::string_view source,
                        const EntryRemoval &removals) {
   const TimePoint now = bootTimeNow();
@@ -164,6 +170,7 @@
   auto task = std::make_shared<ServiceTask>(Context, name, Settings.DataCentre,
                                             Seed ^ std::hash<std::string>{}(name), Requests);
   task->setShareAssignment(Shares);
+  task->setLatestDeadline(Stop.answersDue());
   return task;
 }
 
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -50,7 +50,8 @@
   void setBudgetShare(double share);
   /// Sets which shares of the rate limits of upstreams this VM holds.
   void setShareAssignment(ShareAssignment assignment);
-  void beginStop(TimePoint now) { Stop.begin(now, Settings.Bounds.StopGrace); }
+  /// Begins a graceful stop. Requests that wait anywhere in this process are answered in its time.
+  void beginStop(TimePoint now);
   /// Notices pauses of the process, drops what has expired and closes idle connections.
   void maintain(TimePoint now);
 
@@ -60,7 +61,7 @@
   const StopPlan &stopPlan() const { return Stop; }
   const RouteTableStore &plans() const { return Plans; }
   const StartPlan &startPlan() const { return Begin; }
-  /// Returns when a configuration is known, or at the end of the wait.
+  /// Returns when a configuration is known, at the end of the wait, or when this VM stops.
   boost::asio::awaitable<void> awaitConfiguration(TimePoint end);
   /// Null when the service has never been named by a configuration.
   std::shared_ptr<ServiceTask> service(const std::string &name) const;
--- a/Services/Gateway/RequestIntake.cpp
+++ b/Services/Gateway/RequestIntake.cpp
@@ -33,6 +33,8 @@
 constexpr int HeadTooLarge = 431;
 constexpr int Unavailable = 503;
 
+Rejection stoppingRejection() { return {Unavailable, "stopping", StoppingRetry}; }
+
 HttpRequestHead upstreamHead(const HttpRequestHead &request) {
   constexpr std::array<std::string_view, 2> own{platform::DeadlineRemainingHeader,
                                                 platform::ExpectedUpstreamHeader};
@@ -61,17 +63,23 @@
 asio::awaitable<std::optional<PendingRequest>> RequestIntake::next() {
   applyLimits();
   const ReadResult result = co_await Caller.readHead();
-  ArrivedAt = bootTimeNow();
-  std::optional<PendingRequest> pending;
   if (result == ReadResult::Closed)
-    co_return pending;
+    co_return std::nullopt;
+  IsReceiving = true;
+  auto pending = co_await receive(result);
+  IsReceiving = false;
+  co_return pending;
+}
+
+asio::awaitable<std::optional<PendingRequest>> RequestIntake::receive(ReadResult result) {
+  ArrivedAt = bootTimeNow();
   if (result == ReadResult::Complete)
     co_await Owner.awaitConfiguration(
         Owner.startPlan().waitEnd(ArrivedAt, statedTimeLeft().value_or(DefaultDeadline)));
+  std::optional<PendingRequest> pending;
   pending.emplace();
   pending->Method = Caller.head().method();
-  pending->EndsConnection = result != ReadResult::Complete || isAmbiguous() ||
-                            Owner.stopPlan().refusesNew(ArrivedAt) || !Caller.keepsAlive();
+  pending->EndsConnection = result != ReadResult::Complete || isAmbiguous() || !Caller.keepsAlive();
   std::optional<Route> route;
   pending->Rejected = judgeHead(result, route);
   const bool isOpen =
@@ -91,7 +99,7 @@
   if (headerValue(Caller.head(), platform::AttemptIdHeader).empty())
     return Rejection{.Status = BadRequest, .Why = "no attempt id"};
   if (Owner.stopPlan().refusesNew(ArrivedAt))
-    return Rejection{Unavailable, "stopping", StoppingRetry};
+    return stoppingRejection();
   const auto configuration = Owner.plans().current();
   if (!configuration)
     return Rejection{Unavailable, "no configuration yet", NoPlanRetry};
@@ -135,7 +143,7 @@
           .ArrivedAt = ArrivedAt,
           .TargetLatency = target,
           .Objective = ArrivedAt + target - RequestWay - AnswerWay - waited,
-          .Deadline = Owner.stopPlan().deadline(deadline),
+          .Deadline = deadline,
           .Priority = route.Priority,
           .MaxAttempts = route.MaxAttempts};
 }
@@ -146,6 +154,9 @@
   HttpRequestHead head = upstreamHead(Caller.head());
   std::string body;
   const bool isOpen = co_await receiveBody(body, pending);
+  // The work of a request whose body took long might not end before this process.
+  if (!pending.Rejected && Owner.stopPlan().refusesNew(bootTimeNow()))
+    pending.Rejected = stoppingRejection();
   if (!isOpen || pending.Rejected)
     co_return isOpen;
   pending.Request = std::make_shared<ProxiedRequest>(Owner.context().get_executor(), spec,
--- a/Services/Gateway/RequestIntake.h
+++ b/Services/Gateway/RequestIntake.h
@@ -24,7 +24,12 @@
   /// Waits for the next request; nothing when the caller has closed the connection.
   boost::asio::awaitable<std::optional<PendingRequest>> next();
 
+  /// Whether the head of a request has arrived and the rest of it is awaited.
+  bool isReceiving() const { return IsReceiving; }
+
 private:
+  /// Reads what follows the head.
+  boost::asio::awaitable<std::optional<PendingRequest>> receive(ReadResult headResult);
   void applyLimits();
   /// Finds the route of a request by its head, or why it isn't passed on.
   std::optional<Rejection> judgeHead(ReadResult result, std::optional<Route> &route);
@@ -48,6 +53,7 @@
   CallerConnection &Caller;
   Turn WaitForTurn;
   TimePoint ArrivedAt{};
+  bool IsReceiving = false;
 };
 
 } // namespace wigeonlift
--- a/Services/Gateway/ServiceTask.cpp
+++ b/Services/Gateway/ServiceTask.cpp
@@ -119,7 +119,16 @@
   Balancer.setProbeRate(probesPerSecond, bootTimeNow());
 }
 
+void ServiceTask::setLatestDeadline(TimePoint latest) {
+  for (const auto &[id, request] : Requests)
+    request->Spec.Deadline = std::min(request->Spec.Deadline, latest);
+  BalanceCommands out;
+  Balancer.setLatestDeadline(latest, bootTimeNow(), out);
+  execute(out);
+}
+
 void ServiceTask::requestArrived(std::shared_ptr<ProxiedRequest> request) {
+  request->Spec.Deadline = std::min(request->Spec.Deadline, Balancer.latestDeadline());
   const RequestSpec spec = request->Spec;
   Requests[spec.Id] = std::move(request);
   BalanceCommands out;
--- a/Services/Gateway/ServiceTask.h
+++ b/Services/Gateway/ServiceTask.h
@@ -55,6 +55,8 @@
   /// The part of the fleet's requests that this VM gets, from 0 to 1.
   void setRequestShare(double share);
   void setShareAssignment(const ShareAssignment &assignment);
+  /// Sets when all requests must have been answered, those that are in progress and later ones.
+  void setLatestDeadline(TimePoint latest);
 
   void requestArrived(std::shared_ptr<ProxiedRequest> request);
   void callerLeft(CallId id);
--- a/Tests/Gateway/TestPipelining.cpp
+++ b/Tests/Gateway/TestPipelining.cpp
@@ -108,9 +108,9 @@
   EXPECT_EQ(upstream.requests().size(), 1U);
 }
 
-// Guards against a planned stop that closes a connection in front of requests which were passed on,
+// Guards against a planned stop that closes a connection in front of requests which have arrived,
 // and against one that passes on requests behind its last answer.
-TEST_F(GatewayFixture, AStopAnswersAllPipelinedRequestsThatWerePassedOn) {
+TEST_F(GatewayFixture, AStopAnswersAllPipelinedRequests) {
   PlatformUpstream upstream{Context, "i-1", [](const std::string &id) -> FakeReply {
                               return {.Bytes = sealedAnswer(id, id), .Delay = 60ms};
                             }};
@@ -125,11 +125,11 @@
   Core.beginStop(bootTimeNow());
   caller->send(pipelined("GET", "/look/1", 2) + pipelined("GET", "/look/1", 3));
   runUntil([&] { return caller->IsClosed; });
-  EXPECT_EQ(answersInOrder(*caller), 2);
-  EXPECT_EQ(passedOn(), 2U);
+  EXPECT_EQ(answersInOrder(*caller), 4);
+  EXPECT_EQ(passedOn(), 4U);
   const std::size_t close = caller->Received.find("Connection: close");
   EXPECT_NE(close, std::string::npos);
-  EXPECT_GT(close, caller->Received.find("a-0"));
+  EXPECT_GT(close, caller->Received.rfind("HTTP/1.1 200"));
 }
 
 // Guards against one caller whose large answers, waiting for its first one, fill the memory.
--- a/Tests/LibBalance/TestAttempts.cpp
+++ b/Tests/LibBalance/TestAttempts.cpp
@@ -159,4 +159,33 @@
   }
 }
 
+// Guards against requests that wait here, with more time than their process has: they would end
+// with it and without an answer. What can't be done in time is refused at once.
+TEST(Attempts, TheLatestDeadlineHoldsForAllRequests) {
+  Harness harness{1};
+  harness.learnWorkTime();
+  RequestSpec spec = harness.spec(CallClass::NonIdempotent);
+  spec.Objective = harness.Now + std::chrono::seconds{20};
+  spec.Deadline = spec.Objective;
+  const CallId running = harness.arrive(spec);
+  ASSERT_EQ(harness.sendsOf(running).size(), 1U);
+  harness.fillUpstreams();
+  spec.Id = CallId{1001};
+  const CallId queued = harness.arrive(spec);
+  const TimePoint latest = harness.Now + std::chrono::seconds{1};
+  BalanceCommands out;
+  harness.Balancer.setLatestDeadline(latest, harness.Now, out);
+  harness.handle(out);
+  spec.Id = CallId{1002};
+  const CallId later = harness.arrive(spec);
+  harness.advance(std::chrono::milliseconds{950});
+  EXPECT_EQ(harness.Refused.at(queued).Executed, Execution::NotRun);
+  EXPECT_EQ(harness.Refused.at(later).Executed, Execution::NotRun);
+  EXPECT_FALSE(harness.Refused.contains(running));
+  harness.advance(std::chrono::milliseconds{60});
+  EXPECT_EQ(harness.Refused.at(running).Executed, Execution::Unknown);
+  spec.Id = CallId{1003};
+  EXPECT_TRUE(harness.Refused.contains(harness.arrive(spec)));
+}
+
 } // namespace wigeonlift
--- a/Tests/LibPipeline/TestRequestPipeline.cpp
+++ b/Tests/LibPipeline/TestRequestPipeline.cpp
@@ -38,17 +38,14 @@
   EXPECT_EQ(pipeline.takeStartable(true), (Positions{at(3)}));
 }
 
-// Guards against a stop that passes requests on behind an answer which closes the connection.
+// Guards against answers that wait for earlier ones although there is no memory to hold them.
 TEST(RequestPipeline, WithoutOvertakingOnlyTheFirstStarts) {
   RequestPipeline pipeline;
   pipeline.add(PipelineMode::Concurrent, 0);
   pipeline.add(PipelineMode::Concurrent, 0);
   EXPECT_EQ(pipeline.takeStartable(false), (Positions{at(1)}));
-  EXPECT_FALSE(pipeline.hasStartedBehindFront());
+  EXPECT_EQ(pipeline.takeStartable(false), Positions{});
   EXPECT_EQ(pipeline.takeStartable(true), (Positions{at(2)}));
-  EXPECT_TRUE(pipeline.hasStartedBehindFront());
-  pipeline.didAnswerFront();
-  EXPECT_FALSE(pipeline.hasStartedBehindFront());
 }
 
 // Guards against one caller that takes all memory, or all room at the upstreams.
