LibDiscovery: End all grace periods by the drain timeout

Cause: a removal that a VM learns within 2.2 s after the first answer of the store is taken for an expired lease, and its upstream stayed for 2.2 s from then on, whatever the drain timeout. The first answer comes up to 2.9 s after the store's return.

Change: each grace period ends by the drain timeout, counted from the earliest time at which the removal may count: the age of the replica, or the settle time of the store after it was last known to be down. The VM that reads the store knows when, and passes it on with the changes; a VM whose replica was confirmed a moment ago ignores it.

Evidence: ModelFleet has upstreams now. UpstreamRemovals.* and UpstreamList.ProbableExpiriesEndWithinTheDrainTimeout fail with the old rule.

UpstreamList.KeepsProbablyExpiredUpstreamsForAGracePeriod now says when the store was down, as the product does, and asks in addition that both upstreams are still there after 2.0 s.

--- a/Libraries/LibDiscovery/UpstreamList.cpp
+++ b/Libraries/LibDiscovery/UpstreamList.cpp
@@ -34,13 +34,18 @@
 }
 
 TimePoint UpstreamList::graceEnd(const EntryRemoval &removal, TimePoint now) const {
+  const TimePoint drained = removal.EarliestAt + Bounds.DrainTimeout - DispatchTime;
+  // Nobody sees when the store returns. It may have been right after it was last known to be down,
+  // and the upstream may have left before the outage. From then on the drain timeout holds again.
+  const TimePoint settled =
+      removal.StoreDownAt.value_or(TimePoint{}) + Bounds.StoreSettleTime - DispatchTime;
   switch (removal.Kind) {
   case RemovalKind::Final:
     return now;
   case RemovalKind::PossibleLeaseExpiry:
-    return std::min(now + PossibleExpiryGrace, removal.EarliestAt + DrainTimeout - DispatchTime);
+    return std::min(now + PossibleExpiryGrace, drained);
   case RemovalKind::ProbableLeaseExpiry:
-    return now + LeaseRenewalTime;
+    return std::min(now + LeaseRenewalTime, std::max(drained, settled));
   }
   return now;
 }
--- a/Libraries/LibDiscovery/UpstreamList.h
+++ b/Libraries/LibDiscovery/UpstreamList.h
@@ -51,18 +51,28 @@
   RemovalKind Kind = RemovalKind::Final;
   /// The store acknowledged the removal at this time or later.
   TimePoint EarliestAt{};
+  /// The store was unreachable at this time, and possibly until just before the removal was learnt.
+  /// Empty if no such time is known.
+  std::optional<TimePoint> StoreDownAt{};
+};
+
+/// The times that bound how long an upstream whose entry was removed may get new requests.
+struct RemovalBounds {
+  /// From the acknowledgement of the removal.
+  Duration DrainTimeout{};
+  /// How long after an outage of the store the drain timeout holds again for removals.
+  Duration StoreSettleTime{};
 };
 
 /// The registered upstreams of all services, as the entries in the store describe them.
 ///
 /// An upstream whose entry is removed leaves the list at once. The exception are upstreams that
 /// weren't draining and whose leases may have expired because the store was unreachable: they leave
-/// the list if they don't register again within a grace period. The grace period of a possible
-/// expiry ends early enough for the drain timeout, counted from the earliest time at which the
-/// upstream may have left.
+/// the list if they don't register again within a grace period. Each grace period ends early enough
+/// for the drain timeout, counted from the earliest time at which the upstream may have left.
 class UpstreamList {
 public:
-  explicit UpstreamList(Duration drainTimeout) : DrainTimeout(drainTimeout) {}
+  explicit UpstreamList(const RemovalBounds &bounds) : Bounds(bounds) {}
 
   /// An entry was written. Returns whether the list changed in anything but the remaining warm-up
   /// time. An entry of an earlier process than the listed one is ignored.
@@ -81,7 +91,7 @@
 private:
   TimePoint graceEnd(const EntryRemoval &removal, TimePoint now) const;
 
-  Duration DrainTimeout;
+  RemovalBounds Bounds;
   std::map<std::string, UpstreamRecord, std::less<>> Upstreams;
   /// Ids of the upstreams that are in a grace period, and when it ends.
   std::map<std::string, TimePoint, std::less<>> PendingRemovals;
--- a/Libraries/LibFleet/FleetCodec.cpp
+++ b/Libraries/LibFleet/FleetCodec.cpp
@@ -48,7 +48,8 @@
 
 bool isPossible(const fleetwire::Message &in) {
   return in.sent_at_ms() <= MaxClockMs && in.times().replica_confirmed_at_ms() <= MaxClockMs &&
-         in.times().store_reached_at_ms() <= MaxClockMs;
+         in.times().store_reached_at_ms() <= MaxClockMs &&
+         in.times().store_down_at_ms() <= MaxClockMs;
 }
 
 void encode(const StoreDelta &delta, StoreRevision deltaAfter, fleetwire::Delta &out) {
@@ -96,6 +97,10 @@
     out.mutable_times()->set_incarnation(reading->Incarnation);
     out.mutable_times()->set_store_reached_at_ms(reading->Ms);
   }
+  if (const auto &reading = message.StoreDownAt) {
+    out.mutable_times()->set_incarnation(reading->Incarnation);
+    out.mutable_times()->set_store_down_at_ms(reading->Ms);
+  }
   if (message.Delta)
     encode(*message.Delta, message.DeltaAfter, *out.mutable_delta());
   return out.SerializeAsString();
@@ -110,6 +115,7 @@
                        .ReplicaConfirmedAt = {},
                        .IsFromLeadReader = in.from_lead_reader(),
                        .StoreReachedAt = {},
+                       .StoreDownAt = {},
                        .Others = {},
                        .Wanted = decodeWanted(in.wanted()),
                        .Delta = {},
@@ -118,6 +124,7 @@
     message.Others.push_back(decode(it));
   message.ReplicaConfirmedAt = decode(in.times(), in.times().replica_confirmed_at_ms());
   message.StoreReachedAt = decode(in.times(), in.times().store_reached_at_ms());
+  message.StoreDownAt = decode(in.times(), in.times().store_down_at_ms());
   if (in.has_delta())
     message.Delta = decode(in.delta());
   return message;
--- a/Libraries/LibFleet/FleetMembership.cpp
+++ b/Libraries/LibFleet/FleetMembership.cpp
@@ -40,6 +40,8 @@
 // More than one candidate is notified, since the first one may itself be unreachable.
 constexpr std::size_t NextReadersNotified = 3;
 constexpr std::size_t FewLocalReceivers = 2;
+// An earlier outage of the store says nothing about the changes that follow.
+constexpr Duration StoreDownRetention = std::chrono::seconds{10};
 
 } // namespace
 
@@ -95,6 +97,8 @@
     message.ReplicaConfirmedAt = Clocks.toClockOf(to, *ReplicaConfirmedAt, now);
   if (StoreReachedAt)
     message.StoreReachedAt = Clocks.toClockOf(to, *StoreReachedAt, now);
+  if (StoreDownAt && now - *StoreDownAt < StoreDownRetention)
+    message.StoreDownAt = Clocks.toClockOf(to, *StoreDownAt, now);
   return {.To = to, .Message = std::move(message)};
 }
 
@@ -155,8 +159,10 @@
   const VmAddress sender = message.Sender.Ip;
   const bool isNew = !Peers.contains(sender);
   merge(message.Sender, now);
-  if (const auto it = Peers.find(sender); it != Peers.end())
+  if (const auto it = Peers.find(sender); it != Peers.end()) {
     it->second.ContactAt = now;
+    it->second.StoreDownAt = toOwnTime(message.StoreDownAt, now);
+  }
   for (const FleetVm &it : message.Others)
     merge(it, now);
   if (sender == Self.Ip)
@@ -221,6 +227,11 @@
   return reader ? std::optional{ask(reader->Ip, now)} : std::nullopt;
 }
 
+std::optional<TimePoint> FleetMembership::storeDownAt(VmAddress vm) const {
+  const auto it = Peers.find(vm);
+  return it == Peers.end() ? std::nullopt : it->second.StoreDownAt;
+}
+
 bool FleetMembership::isInOwnDataCentre(VmAddress vm) const {
   const auto it = Peers.find(vm);
   return it != Peers.end() && isInOwnDataCentre(it->second.Vm);
--- a/Libraries/LibFleet/FleetMembership.h
+++ b/Libraries/LibFleet/FleetMembership.h
@@ -72,6 +72,9 @@
   /// Sets whether this VM's calls to the store fail. If they have just begun to fail, returns
   /// messages that notify the next reader candidates directly, since gossip would take too long.
   std::vector<FleetDatagram> setStoreDisconnected(bool isDisconnected, TimePoint now);
+  /// The store was unreachable at that time for the VM that read the latest changes of the replica
+  /// from it.
+  void setStoreDownAt(std::optional<TimePoint> time) { StoreDownAt = time; }
   /// The store answered a call of some VM at that time.
   void didReachStore(TimePoint time) {
     StoreReachedAt = std::max(time, StoreReachedAt.value_or(time));
@@ -101,6 +104,9 @@
   /// A time on this VM's clock that was received. Empty if it is for an earlier process.
   std::optional<TimePoint> toOwnTime(const std::optional<ClockReading> &reading,
                                      TimePoint now) const;
+  /// When the store was last unreachable before the latest changes of a VM's replica, as that VM
+  /// last said. Empty if it is not known.
+  std::optional<TimePoint> storeDownAt(VmAddress vm) const;
   /// Returns false for unknown VMs.
   bool isInOwnDataCentre(VmAddress vm) const;
 
@@ -147,6 +153,8 @@
     TimePoint HeardAt{};
     /// When a message of the VM itself last arrived.
     std::optional<TimePoint> ContactAt{};
+    /// What that message said of the store.
+    std::optional<TimePoint> StoreDownAt{};
     bool WasReportedAlive = false;
   };
 
@@ -196,6 +204,7 @@
   /// When the store last answered a call, as far as known.
   std::optional<TimePoint> StoreReachedAt;
   std::optional<TimePoint> ReplicaConfirmedAt;
+  std::optional<TimePoint> StoreDownAt;
   std::uint64_t TickCount = 0;
   /// Number of other VMs of the own data centre at the last tick, including those that are
   /// considered dead.
--- a/Libraries/LibFleet/FleetMessage.h
+++ b/Libraries/LibFleet/FleetMessage.h
@@ -55,6 +55,9 @@
   /// The store answered a call of some VM at this time, on the receiver's clock. Empty if no such
   /// answer is known, or not how the receiver's clock runs.
   std::optional<ClockReading> StoreReachedAt{};
+  /// The store was unreachable at this time, on the receiver's clock, for the VM that read the
+  /// latest changes of the sender's replica from it. Empty if it was not shortly before.
+  std::optional<ClockReading> StoreDownAt{};
   /// States of VMs other than the sender.
   std::vector<FleetVm> Others{};
   AnswerWanted Wanted = AnswerWanted::None;
--- a/Libraries/LibFleet/FleetReplica.cpp
+++ b/Libraries/LibFleet/FleetReplica.cpp
@@ -16,8 +16,24 @@
 constexpr Duration NewsTime = std::chrono::seconds{1};
 constexpr Duration MaxNewsTime = std::chrono::seconds{3};
 
+RemovalKind removalKindDuring(StoreOutage outage) {
+  switch (outage) {
+  case StoreOutage::None:
+    return RemovalKind::Final;
+  case StoreOutage::Possible:
+    return RemovalKind::PossibleLeaseExpiry;
+  case StoreOutage::Certain:
+    return RemovalKind::ProbableLeaseExpiry;
+  }
+  return RemovalKind::Final;
+}
+
 } // namespace
 
+EntryRemoval ReplicaUpdate::removals() const {
+  return {.Kind = removalKindDuring(Outage), .EarliestAt = ChangesFrom, .StoreDownAt = StoreDownAt};
+}
+
 ReplicaUpdate FleetReplica::tick(TimePoint now) {
   // The store may refuse a VM whose replica is too old, so it turns to other VMs as well.
   ReplicaUpdate update{.Datagrams = Members.tick(now, now >= Freshness.expiresAt())};
@@ -58,7 +74,8 @@
   if (message.Sender.Revision <= revision)
     didReceiveConfirmation(message, now, update);
   if (hasChanges)
-    apply(*message.Delta, message.DeltaAfter, scopeOfChangesFrom(message.Sender.Ip), now, update);
+    apply(*message.Delta, message.DeltaAfter, scopeOfChangesFrom(message.Sender.Ip),
+          Members.toOwnTime(message.StoreDownAt, now), now, update);
   release(update, now);
   return update;
 }
@@ -144,7 +161,7 @@
   ReplicaUpdate update{.ChangesFrom = Freshness.currentAt()};
   // The messages that pass the changes on contain the new age.
   confirm(confirmedAt);
-  apply(delta, after, PropagationScope::LocalVmsAndRemoteReaders, now, update);
+  apply(delta, after, PropagationScope::LocalVmsAndRemoteReaders, OwnStoreDownAt, now, update);
   release(update, now);
   return update;
 }
@@ -152,7 +169,7 @@
 ReplicaUpdate FleetReplica::didReadPeer(const StoreDelta &delta, StoreRevision after,
                                         VmAddress peer, TimePoint now) {
   ReplicaUpdate update{.ChangesFrom = Freshness.currentAt()};
-  apply(delta, after, scopeOfChangesFrom(peer), now, update);
+  apply(delta, after, scopeOfChangesFrom(peer), Members.storeDownAt(peer), now, update);
   release(update, now);
   return update;
 }
@@ -163,13 +180,18 @@
 }
 
 void FleetReplica::apply(const StoreDelta &delta, StoreRevision after, PropagationScope scope,
-                         TimePoint now, ReplicaUpdate &update) {
+                         std::optional<TimePoint> storeDownAt, TimePoint now,
+                         ReplicaUpdate &update) {
   const StoreRevision before = Replica.revision();
   update.Changes = Replica.apply(delta, now);
   update.Outage = Members.storeOutage(Freshness.limits().MaxStoreSilence, now);
+  // If the store has confirmed the replica meanwhile, a call that failed tells of one VM's link.
+  const bool isStale = now - update.ChangesFrom > Freshness.limits().MaxAgeLimit;
+  update.StoreDownAt = isStale ? storeDownAt : std::nullopt;
   Members.setRevision(Replica.revision());
   if (Replica.revision() == before)
     return;
+  Members.setStoreDownAt(storeDownAt);
   auto datagrams = Members.propagate(delta, after, scope, now);
   std::ranges::move(datagrams, std::back_inserter(update.Datagrams));
 }
--- a/Libraries/LibFleet/FleetReplica.h
+++ b/Libraries/LibFleet/FleetReplica.h
@@ -2,6 +2,7 @@
 
 #include <LibFleet/FleetMembership.h>
 
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -17,6 +18,12 @@
   TimePoint ChangesFrom{};
   /// What the removals among the changes mean.
   StoreOutage Outage = StoreOutage::None;
+  /// When the store was last unreachable for the VM that read the changes from it. Empty if it has
+  /// answered some VM since.
+  std::optional<TimePoint> StoreDownAt{};
+
+  /// What is known of the removals among the changes.
+  EntryRemoval removals() const;
 };
 
 /// A VM's replica of the store and its place in the fleet, which keep each other up to date:
@@ -45,6 +52,8 @@
   /// The store answered this VM: it had acknowledged no later change at `confirmedAt` than those in
   /// the replica.
   ReplicaUpdate didConfirm(TimePoint confirmedAt, TimePoint now);
+  /// A call of this VM to the store failed: the store was unreachable at `downAt`.
+  void didFailToReachStore(TimePoint downAt) { OwnStoreDownAt = downAt; }
   /// Adds messages that tell other VMs how recent this replica is, for those that `update` sends
   /// nothing to.
   void announceAge(ReplicaUpdate &update, TimePoint now);
@@ -66,8 +75,10 @@
   bool isUsable(TimePoint now) const;
   /// Adds all keys to the changes when the replica can first be used, and removes them before.
   void release(ReplicaUpdate &update, TimePoint now);
-  void apply(const StoreDelta &delta, StoreRevision after, PropagationScope scope, TimePoint now,
-             ReplicaUpdate &update);
+  /// Merges changes into the replica and passes them on. `storeDownAt` is when the store was last
+  /// unreachable for the VM that read them from it.
+  void apply(const StoreDelta &delta, StoreRevision after, PropagationScope scope,
+             std::optional<TimePoint> storeDownAt, TimePoint now, ReplicaUpdate &update);
   PropagationScope scopeOfChangesFrom(VmAddress peer) const;
   /// Adds the changes that a VM lacks to the answers to its question.
   void addMissingChanges(const FleetVm &asker, std::vector<FleetDatagram> &answers);
@@ -87,6 +98,8 @@
   bool IsInUse = false;
   /// When a message was last answered by a question.
   TimePoint AskedAt{};
+  /// When the store was last unreachable for this VM.
+  std::optional<TimePoint> OwnStoreDownAt;
   /// The latest confirmation that the lead reader has told.
   std::optional<TimePoint> LeadConfirmedAt;
 };
--- a/Libraries/LibFleet/StoreSync.cpp
+++ b/Libraries/LibFleet/StoreSync.cpp
@@ -129,9 +129,21 @@
 
 ReplicaUpdate StoreSync::didFail(StoreFailure failure, TimePoint now) {
   Policy.didFail(failure, now);
+  if (const auto downAt = storeDownAt(failure, now))
+    Fleet.didFailToReachStore(*downAt);
   return {.Datagrams = updateConnection(now)};
 }
 
+std::optional<TimePoint> StoreSync::storeDownAt(StoreFailure failure, TimePoint now) const {
+  // A call that gets no answer may have met the outage at any time since it began.
+  if (failure == StoreFailure::TimedOut)
+    return CalledAt;
+  // A store that works may interrupt a watch.
+  const bool isRefused =
+      failure == StoreFailure::Unreachable && LastCall.Step != StoreSyncStep::Watch;
+  return isRefused ? std::optional{now} : std::nullopt;
+}
+
 std::vector<FleetDatagram> StoreSync::updateConnection(TimePoint now) {
   if (std::exchange(WasDisconnected, Policy.isDisconnected()) == Policy.isDisconnected())
     return {};
--- a/Libraries/LibFleet/StoreSync.h
+++ b/Libraries/LibFleet/StoreSync.h
@@ -47,6 +47,8 @@
   Duration batchingDelay(TimePoint now) const;
   ReplicaUpdate didRead(const StoreDelta &delta, TimePoint confirmedAt, TimePoint now);
   void didAnswer(TimePoint now);
+  /// The latest time at which a call that failed shows that the store was unreachable.
+  std::optional<TimePoint> storeDownAt(StoreFailure failure, TimePoint now) const;
   /// Adds the messages that follow from a call that succeeded.
   void finishCall(ReplicaUpdate &update, TimePoint now);
   /// Returns messages that tell other VMs when this VM's calls have just begun to fail.
--- a/Libraries/LibSettings/GatewaySettings.h
+++ b/Libraries/LibSettings/GatewaySettings.h
@@ -24,6 +24,8 @@
   double ProbesPerUpstreamSecond = 60;
   /// Time after which an upstream that leaves must get no new requests.
   Duration DrainTimeout = std::chrono::seconds{2};
+  /// Time after an outage of the store from which on such bounds hold again.
+  Duration StoreSettleTime = std::chrono::seconds{3};
   /// Time after which a new configuration must be in force.
   Duration ConfigurationDeadline = std::chrono::seconds{2};
 
--- a/Services/Gateway/FleetTask.cpp
+++ b/Services/Gateway/FleetTask.cpp
@@ -44,18 +44,6 @@
           .Weight = std::max(1U, static_cast<std::uint32_t>(WeightPerCore * share))};
 }
 
-RemovalKind removalKindDuring(StoreOutage outage) {
-  switch (outage) {
-  case StoreOutage::None:
-    return RemovalKind::Final;
-  case StoreOutage::Possible:
-    return RemovalKind::PossibleLeaseExpiry;
-  case StoreOutage::Certain:
-    return RemovalKind::ProbableLeaseExpiry;
-  }
-  return RemovalKind::Final;
-}
-
 std::vector<VmAddress> seedsOf(const GatewaySettings &settings) {
   std::vector<VmAddress> seeds;
   for (const std::string &it : settings.SeedPeers)
@@ -236,8 +224,7 @@
 void FleetTask::publish(const ReplicaUpdate &update, std::string_view source) {
   send(update.Datagrams);
   if (!update.Changes.empty())
-    Owner.didLearn(update.Changes, source,
-                   {.Kind = removalKindDuring(update.Outage), .EarliestAt = update.ChangesFrom});
+    Owner.didLearn(update.Changes, source, update.removals());
 }
 
 void FleetTask::send(const std::vector<FleetDatagram> &sends) {
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -40,9 +40,10 @@
 Gateway::Gateway(boost::asio::io_context &context, const GatewaySettings &settings, EventLog &log,
                  std::uint64_t seed)
     : Context(context), Settings(settings), Log(log), Requests(log), Seed(seed), Rng(seed),
-      Upstreams(settings.Bounds.DrainTimeout), Bodies(bodyLimit(settings)),
-      HeldAnswers(bodyLimit(settings)), Begin(bootTimeNow()), RemovalTimer(context),
-      MaintainedAt(bootTimeNow()) {}
+      Upstreams({.DrainTimeout = settings.Bounds.DrainTimeout,
+                 .StoreSettleTime = settings.Bounds.StoreSettleTime}),
+      Bodies(bodyLimit(settings)), HeldAnswers(bodyLimit(settings)), Begin(bootTimeNow()),
+      RemovalTimer(context), MaintainedAt(bootTimeNow()) {}
 
 asio::awaitable<void> Gateway::awaitConfiguration(TimePoint end) {
   asio::steady_timer timer{Context};
--- a/Tests/LibDiscovery/TestUpstreamList.cpp
+++ b/Tests/LibDiscovery/TestUpstreamList.cpp
@@ -8,6 +8,8 @@
 
 constexpr TimePoint Start{std::chrono::seconds{100}};
 constexpr Duration DrainTimeout = std::chrono::seconds{2};
+constexpr RemovalBounds Bounds{.DrainTimeout = DrainTimeout,
+                               .StoreSettleTime = std::chrono::seconds{3}};
 
 UpstreamRecord record(std::string id, std::uint64_t startedAtMs = 1) {
   return {.Id = std::move(id),
@@ -22,7 +24,7 @@
 
 // Guards against new requests to an upstream that drains or whose entry was removed.
 TEST(UpstreamList, LeavesOutDrainingAndRemovedUpstreams) {
-  UpstreamList list{DrainTimeout};
+  UpstreamList list{Bounds};
   list.didWrite(record("x"), Start);
   list.didWrite(record("y"), Start);
   UpstreamRecord draining = record("x");
@@ -35,14 +37,16 @@
 // Guards against the loss of all upstreams after an outage of the store. Their leases expire in the
 // outage, and they need some seconds to register again.
 TEST(UpstreamList, KeepsProbablyExpiredUpstreamsForAGracePeriod) {
-  UpstreamList list{DrainTimeout};
+  UpstreamList list{Bounds};
   list.didWrite(record("x"), Start);
   list.didWrite(record("y"), Start);
-  EXPECT_FALSE(
-      list.didRemove("x", {.Kind = RemovalKind::ProbableLeaseExpiry, .EarliestAt = Start}, Start));
-  EXPECT_FALSE(
-      list.didRemove("y", {.Kind = RemovalKind::ProbableLeaseExpiry, .EarliestAt = Start}, Start));
+  const EntryRemoval removal{.Kind = RemovalKind::ProbableLeaseExpiry,
+                             .EarliestAt = Start - std::chrono::seconds{5},
+                             .StoreDownAt = Start - std::chrono::milliseconds{500}};
+  EXPECT_FALSE(list.didRemove("x", removal, Start));
+  EXPECT_FALSE(list.didRemove("y", removal, Start));
   list.didWrite(record("x"), Start + std::chrono::milliseconds{1900});
+  EXPECT_FALSE(list.applyDueRemovals(Start + std::chrono::milliseconds{2000}));
   EXPECT_EQ(list.usable("rankview").size(), 2U);
   EXPECT_TRUE(list.applyDueRemovals(Start + std::chrono::milliseconds{2500}));
   ASSERT_EQ(list.usable("rankview").size(), 1U);
@@ -53,7 +57,7 @@
 // could not reach the store. In the benchmark run kapokki scale-2, such requests came 2,031 to
 // 2,287 ms after the removal was acknowledged.
 TEST(UpstreamList, PossibleExpiriesEndWithinTheDrainTimeout) {
-  UpstreamList list{DrainTimeout};
+  UpstreamList list{Bounds};
   list.didWrite(record("x"), Start);
   list.didRemove("x", {.Kind = RemovalKind::PossibleLeaseExpiry, .EarliestAt = Start}, Start);
   // The drain timeout of 2 s begins when the removal is acknowledged. The removal arrives up to 1 s
@@ -67,7 +71,7 @@
 // Guards against new requests after the drain timeout to an upstream that left, if the VM learns
 // this late because other VMs fell silent.
 TEST(UpstreamList, PossibleExpiriesThatAreLearntLateEndWithinTheDrainTimeout) {
-  UpstreamList list{DrainTimeout};
+  UpstreamList list{Bounds};
   list.didWrite(record("x"), Start);
   list.didWrite(record("y"), Start);
   const TimePoint learntAt = Start + std::chrono::milliseconds{1650};
@@ -79,10 +83,34 @@
                              tooLate));
 }
 
+// Guards against new requests after the drain timeout to an upstream that left when the store had
+// just come back. The review's case 2 had such requests 2.2 s after the removal. However late the
+// removal is learnt, the upstream must be out of the list in time, also if it left before the
+// outage and the drain timeout holds again.
+TEST(UpstreamList, ProbableExpiriesEndWithinTheDrainTimeout) {
+  constexpr auto step = std::chrono::milliseconds{100};
+  const TimePoint confirmedAt = Start - std::chrono::seconds{1};
+  for (const Duration settleTime : {Duration{std::chrono::seconds{1}}, Bounds.StoreSettleTime})
+    for (Duration drainTimeout = 5 * step; drainTimeout <= 2 * DrainTimeout; drainTimeout += step)
+      for (Duration learntAfter{}; learntAfter <= 2 * DrainTimeout; learntAfter += step) {
+        UpstreamList list{{.DrainTimeout = drainTimeout, .StoreSettleTime = settleTime}};
+        list.didWrite(record("x"), Start);
+        // The store may have returned as soon as it was last known to be down.
+        const TimePoint learntAt = Start + learntAfter;
+        list.didRemove("x",
+                       {.Kind = RemovalKind::ProbableLeaseExpiry,
+                        .EarliestAt = confirmedAt,
+                        .StoreDownAt = Start},
+                       learntAt);
+        const TimePoint due = list.nextRemovalDue().value_or(learntAt);
+        EXPECT_LT(due, std::max({learntAt + step, confirmedAt + drainTimeout, Start + settleTime}));
+      }
+}
+
 // Guards against a draining upstream that stays listed because its removal is mistaken for an
 // expired lease.
 TEST(UpstreamList, DrainingUpstreamsGetNoGracePeriod) {
-  UpstreamList list{DrainTimeout};
+  UpstreamList list{Bounds};
   UpstreamRecord draining = record("x");
   draining.IsDraining = true;
   list.didWrite(draining, Start);
@@ -92,7 +120,7 @@
 
 // Guards against a late entry of an earlier process that replaces the entry of the running one.
 TEST(UpstreamList, EarlierIncarnationsAreIgnored) {
-  UpstreamList list{DrainTimeout};
+  UpstreamList list{Bounds};
   list.didWrite(record("x", 20), Start);
   EXPECT_FALSE(list.didWrite(record("x", 10), Start));
   EXPECT_EQ(list.usable("rankview")[0].StartedAtMs, 20U);
@@ -101,7 +129,7 @@
 // Guards against an upstream that stays in use for good, because a late entry of its earlier
 // process ended the grace period of its removal.
 TEST(UpstreamList, EarlierIncarnationsDoNotEndAGracePeriod) {
-  UpstreamList list{DrainTimeout};
+  UpstreamList list{Bounds};
   list.didWrite(record("x", 20), Start);
   list.didRemove("x", {.Kind = RemovalKind::PossibleLeaseExpiry, .EarliestAt = Start}, Start);
   EXPECT_FALSE(list.didWrite(record("x", 10), Start));
@@ -111,7 +139,7 @@
 
 // Guards against an update on all VMs each time an upstream publishes its remaining warm-up time.
 TEST(UpstreamList, RemainingWarmUpIsNoChange) {
-  UpstreamList list{DrainTimeout};
+  UpstreamList list{Bounds};
   UpstreamRecord warmingUp = record("x");
   warmingUp.Warmup = std::chrono::seconds{3};
   EXPECT_TRUE(list.didWrite(warmingUp, Start));
--- a/Tests/LibFleet/ModelFleet.cpp
+++ b/Tests/LibFleet/ModelFleet.cpp
@@ -1,6 +1,7 @@
 #include <Tests/LibFleet/ModelFleet.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <sstream>
 
 namespace wigeonlift::test {
@@ -26,6 +27,11 @@
 
 } // namespace
 
+std::uint64_t seedOffset() {
+  const char *offset = std::getenv("MODEL_SEED_OFFSET");
+  return offset ? std::strtoull(offset, nullptr, 10) : 0;
+}
+
 ModelFleet::ModelFleet(ModelOptions options, std::uint64_t seed)
     : Options(options), Rng(seed), ClockRng(seed), Now(Begin) {
   for (int n = 0; n < Keys; ++n)
@@ -68,6 +74,8 @@
   for (const auto &it : Vms)
     at(Begin + between(Duration::zero(), ms(300)), [this, vm = it.get()] { start(*vm); });
   planFaults(FaultsFrom);
+  if (Options.HasUpstreams)
+    planUpstreams();
   for (TimePoint time = FaultsFrom; time < End; time += CheckInterval)
     at(time, [this] { check(); });
   while (!Events.empty() && Events.top().At < End) {
@@ -92,6 +100,8 @@
       self, std::vector<VmAddress>{FirstAddress, FirstAddress + 1, FirstAddress + 2},
       FreshnessLimits::forChangeDeadline(Options.ChangeDeadline), seed, clockOf(vm));
   vm.Sync = std::make_unique<StoreSync>(*vm.Fleet, seed);
+  vm.List = std::make_unique<UpstreamList>(RemovalBounds{
+      .DrainTimeout = Options.DrainTimeout, .StoreSettleTime = Options.StoreSettleTime});
   vm.Reads = {};
   vm.IsCatchingUp = false;
   vm.Deferred.clear();
@@ -120,7 +130,7 @@
 }
 
 void ModelFleet::tick(Vm &vm) {
-  send(vm, vm.Fleet->tick(clockOf(vm)).Datagrams);
+  publish(vm, vm.Fleet->tick(clockOf(vm)));
   inVm(vm, FleetMembership::GossipInterval + between(Duration::zero(), MaxTimerDelay),
        [this, &vm] { tick(vm); });
 }
@@ -139,7 +149,7 @@
 }
 
 void ModelFleet::receive(Vm &vm, const FleetMessage &message) {
-  send(vm, vm.Fleet->didReceive(message, clockOf(vm)).Datagrams);
+  publish(vm, vm.Fleet->didReceive(message, clockOf(vm)));
   if (vm.IsCatchingUp || !vm.Fleet->members().isBehind(clockOf(vm)))
     return;
   vm.IsCatchingUp = true;
@@ -173,7 +183,7 @@
   const StoreDelta delta = source.Fleet->replica().changesSince(after);
   inVm(vm, between(ms(2), ms(10)) + onLinks, [this, &vm, from, delta, after] {
     vm.Reads.didEnd(from, true, clockOf(vm));
-    send(vm, vm.Fleet->didReadPeer(delta, after, from, clockOf(vm)).Datagrams);
+    publish(vm, vm.Fleet->didReadPeer(delta, after, from, clockOf(vm)));
   });
 }
 
@@ -210,6 +220,8 @@
 void ModelFleet::answerCall(Vm &vm, const StoreCall &call, const CallState &state) {
   if (vm.Refusals > 0 && vm.IsIgnoredByStore)
     return;
+  if (isStoreDown() && Options.IsOutageSilent)
+    return;
   if (isStoreDown() || vm.Refusals > 0)
     return respond(vm, state, [this, &vm] {
       return vm.Sync->didFail(StoreFailure::Unreachable, clockOf(vm));
@@ -229,6 +241,8 @@
     const auto open = watch.lock();
     if (!open || std::exchange(open->IsAnswered, true) || vm.Generation != generation)
       return;
+    if (isStoreDown() && Options.IsOutageSilent)
+      return;
     respond(vm, state, [this, &vm, delta = changesAfter(call.After, false)] {
       return vm.Sync->didWatch(delta, clockOf(vm));
     });
@@ -250,7 +264,7 @@
 }
 
 void ModelFleet::endCall(Vm &vm, const ReplicaUpdate &update) {
-  send(vm, update.Datagrams);
+  publish(vm, update);
   inVm(vm, vm.Sync->pause(clockOf(vm)) + between(Duration::zero(), MaxTimerDelay),
        [this, &vm] { syncWithStore(vm); });
 }
@@ -258,7 +272,7 @@
 StoreDelta ModelFleet::changesAfter(StoreRevision revision, bool isComplete) const {
   StoreDelta delta{.Items = {}, .IsComplete = isComplete, .AsOf = Revision};
   for (const StoreItem &it : StoreItems)
-    if (isComplete || it.Revision > revision)
+    if (it.Revision > revision && !(isComplete && it.IsRemoved))
       delta.Items.push_back(it);
   return delta;
 }
@@ -283,6 +297,7 @@
 }
 
 void ModelFleet::check() {
+  checkUpstreams();
   const auto isDue = [&](const Change &it) { return dueTime(it) <= Now; };
   const auto due = std::ranges::find_if(Changes.rbegin(), Changes.rend(), isDue);
   if (due == Changes.rend())
--- a/Tests/LibFleet/ModelFleet.h
+++ b/Tests/LibFleet/ModelFleet.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <queue>
@@ -13,6 +14,9 @@
 
 namespace wigeonlift::test {
 
+/// Added to all seeds, for further runs by hand.
+std::uint64_t seedOffset();
+
 struct ModelOptions {
   int Vms = 12;
   int DataCentres = 3;
@@ -28,8 +32,15 @@
   /// all faults, so that one that knows the changes can always be reached.
   bool HasRefusals = false;
   bool HasChanges = true;
-  /// How long the store refuses all calls, from the end of the calm start on.
+  /// How long the store refuses all calls, from the end of the calm start on, or answers none.
   Duration StoreOutage{};
+  bool IsOutageSilent = false;
+  /// Whether upstreams are registered in the store. The leases of some run out in the outage, and
+  /// they register again after it. Others leave shortly before the outage, or right when the drain
+  /// timeout holds again after it.
+  bool HasUpstreams = false;
+  Duration DrainTimeout = std::chrono::seconds{2};
+  Duration StoreSettleTime = std::chrono::seconds{3};
 };
 
 /// A fleet of VMs and a store that are connected by a simulated network. VMs run the code that
@@ -51,6 +62,9 @@
   /// Simulates the whole run. Returns a line for each change that a VM in touch didn't know in
   /// time.
   std::vector<std::string> run();
+  /// How many VMs, summed over all upstreams whose leases ran out and samples after the outage,
+  /// knew the upstream as usable; as a fraction.
+  double usableShare() const;
   /// Calls to the store in a span that begins `from` after the end of the calm start.
   int storeCalls(Duration from, Duration span) const;
 
@@ -63,6 +77,7 @@
     Duration ClockOffset{};
     std::unique_ptr<FleetReplica> Fleet;
     std::unique_ptr<StoreSync> Sync;
+    std::unique_ptr<UpstreamList> List;
     PeerReads Reads;
     bool IsCatchingUp = false;
     int Freezes = 0;
@@ -122,6 +137,8 @@
   void stop(Vm &vm);
   void tick(Vm &vm);
   void send(Vm &from, const std::vector<FleetDatagram> &datagrams);
+  /// Sends the messages of an update and applies its changes to the list of upstreams.
+  void publish(Vm &vm, const ReplicaUpdate &update);
   void receive(Vm &vm, const FleetMessage &message);
   void catchUp(Vm &vm);
   void pull(Vm &vm, VmAddress from);
@@ -135,6 +152,15 @@
   StoreDelta changesAfter(StoreRevision revision, bool isComplete) const;
   void change();
 
+  /// What happens to the upstreams.
+  void planUpstreams();
+  void writeUpstream(const std::string &id);
+  void removeUpstream(const std::string &id);
+  /// Changes an item, or adds it, and tells those who watch.
+  void write(StoreItem item);
+  void leave(const std::string &id);
+  void checkUpstreams();
+
   void planFaults(TimePoint from);
   void planFault(TimePoint begin);
   std::vector<Vm *> pickVictims();
@@ -165,6 +191,11 @@
   std::vector<StoreItem> StoreItems;
   StoreRevision Revision = 1;
   std::vector<Change> Changes;
+  /// When upstreams that left were removed.
+  std::map<std::string, TimePoint> LeftAt;
+  std::vector<std::string> Lapsed;
+  int UsableSamples = 0;
+  int Samples = 0;
   struct Span {
     TimePoint Begin;
     TimePoint End;
--- a/Tests/LibFleet/TestChangeDeadline.cpp
+++ b/Tests/LibFleet/TestChangeDeadline.cpp
@@ -2,18 +2,10 @@
 
 #include <gtest/gtest.h>
 
-#include <cstdlib>
-
 namespace wigeonlift::test {
 
 namespace {
 
-/// Added to all seeds, for further runs by hand.
-std::uint64_t seedOffset() {
-  const char *offset = std::getenv("MODEL_SEED_OFFSET");
-  return offset ? std::strtoull(offset, nullptr, 10) : 0;
-}
-
 /// Simulates runs with the seeds from `firstSeed` on and expects each change at each VM in touch in
 /// time.
 void expectChangesInTime(ModelOptions options, std::uint64_t firstSeed, int runs) {
