Gateway: Bound what is held of all answers together

Here one answer is bounded (2 MiB), but not all together, and each health check kept up to 2 MiB of a body that nobody reads: 130 of them fill a VM of 260 MB.

The bodies of all answers now share the quarter of the memory that only answers behind others shared; one without room is passed on as it comes. Bodies that nobody gets are dropped as they are read.

--- a/Services/Gateway/AnswerWriter.cpp
+++ b/Services/Gateway/AnswerWriter.cpp
@@ -47,7 +47,7 @@
 asio::awaitable<bool> AnswerWriter::relay(const PendingRequest &pending, WholeAnswer whole,
                                           AfterAnswer after) {
   setClose(whole.Head, after);
-  co_return co_await Caller.write(std::move(whole.Head), whole.Body, pending.Method);
+  co_return co_await Caller.write(std::move(whole.Head), whole.Body.Bytes, pending.Method);
 }
 
 asio::awaitable<bool> AnswerWriter::relay(const PendingRequest &pending, OpenAnswer open,
@@ -57,7 +57,7 @@
     open.Head.set(http::field::transfer_encoding, "chunked");
   setClose(open.Head, after);
   bool isWritten = co_await Caller.writeHead(std::move(open.Head)) &&
-                   co_await Caller.writePart(open.Begun, isChunked);
+                   co_await Caller.writePart(open.Begun.Bytes, isChunked);
   const auto connection = open.Connection->share();
   const TimePoint end = pending.Request->Spec.Deadline + ProxiedRequest::LateAnswerSpan;
   const ConnectionGuard guard{co_await asio::this_coro::executor, connection, end - bootTimeNow()};
--- a/Services/Gateway/BodyMemory.h
+++ b/Services/Gateway/BodyMemory.h
@@ -19,7 +19,7 @@
       Memory->Held += Bytes;
     }
     Reservation(Reservation &&other) noexcept
-        : Memory(std::exchange(other.Memory, nullptr)), Bytes(other.Bytes) {}
+        : Memory(std::exchange(other.Memory, nullptr)), Bytes(std::exchange(other.Bytes, 0)) {}
     Reservation &operator=(Reservation &&other) noexcept {
       std::swap(Memory, other.Memory);
       std::swap(Bytes, other.Bytes);
@@ -30,6 +30,19 @@
         Memory->Held -= Bytes;
     }
 
+    /// Makes the reservation at least so large. False, with nothing changed, when there is no room
+    /// for it. One that belongs to no memory has no bound.
+    bool ensure(std::size_t bytes) {
+      const std::size_t missing = bytes > Bytes ? bytes - Bytes : 0;
+      if (!Memory || missing == 0)
+        return true;
+      if (missing > Memory->room())
+        return false;
+      Memory->Held += missing;
+      Bytes += missing;
+      return true;
+    }
+
   private:
     BodyMemory *Memory = nullptr;
     std::size_t Bytes = 0;
--- a/Services/Gateway/CallerSession.cpp
+++ b/Services/Gateway/CallerSession.cpp
@@ -133,6 +133,7 @@
     return;
   if (isBehindOthers) {
     pending.Request->MaxHeldBytes = MaxWaitingAnswerBytes;
+    pending.Request->AnswerMemory = nullptr;
     pending.HeldAnswer = Owner.heldAnswerMemory().reserve(MaxWaitingAnswerBytes);
   }
   pending.Service->requestArrived(pending.Request);
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -74,7 +74,7 @@
   RequestLog &log() { return Requests; }
   GatewayCounts &counts() { return Counts; }
   BodyMemory &bodyMemory() { return Bodies; }
-  /// Memory for answers that wait behind others on their connections.
+  /// Memory for answers, until their callers have taken them.
   BodyMemory &heldAnswerMemory() { return HeldAnswers; }
   boost::asio::io_context &context() { return Context; }
   const std::map<std::string, std::shared_ptr<ServiceTask>> &services() const { return Services; }
--- a/Services/Gateway/ProxiedRequest.cpp
+++ b/Services/Gateway/ProxiedRequest.cpp
@@ -25,9 +25,9 @@
   if (!Outcome)
     return 0;
   if (const auto *whole = std::get_if<WholeAnswer>(&*Outcome))
-    return whole->Body.size();
+    return whole->Body.Bytes.size();
   const auto *open = std::get_if<OpenAnswer>(&*Outcome);
-  return open ? open->Begun.size() : 0;
+  return open ? open->Begun.Bytes.size() : 0;
 }
 
 asio::awaitable<RequestOutcome> ProxiedRequest::nextOutcome() {
--- a/Services/Gateway/ProxiedRequest.h
+++ b/Services/Gateway/ProxiedRequest.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "BodyMemory.h"
+
 #include <LibBalance/LibBalance.h>
 #include <LibHttp/LibHttp.h>
 
@@ -13,16 +15,22 @@
 
 namespace wigeonlift {
 
+/// A body, or the beginning of one, and the memory that it takes.
+struct HeldBody {
+  std::string Bytes;
+  BodyMemory::Reservation Memory;
+};
+
 /// An answer of an upstream that has arrived as a whole.
 struct WholeAnswer {
   HttpResponseHead Head;
-  std::string Body;
+  HeldBody Body;
 };
 
 /// An answer whose body is too large to hold; the rest of it is still on the connection.
 struct OpenAnswer {
   HttpResponseHead Head;
-  std::string Begun;
+  HeldBody Begun;
   std::shared_ptr<ConnectionLease> Connection;
 };
 
@@ -56,6 +64,8 @@
   std::string Service;
   /// Bytes of the answer that are held until it is whole. The rest of a larger one is streamed.
   std::size_t MaxHeldBytes = std::size_t{2} * 1024 * 1024;
+  /// What the held bytes are taken from; null when the caller's session has reserved them.
+  BodyMemory *AnswerMemory = nullptr;
   int Attempts = 0;
   TimePoint LastSentAt{};
 
--- a/Services/Gateway/RequestIntake.cpp
+++ b/Services/Gateway/RequestIntake.cpp
@@ -162,6 +162,7 @@
   pending.Request = std::make_shared<ProxiedRequest>(Owner.context().get_executor(), spec,
                                                      std::move(head), std::move(body));
   pending.Request->CallerAttempt = std::move(callerAttempt);
+  pending.Request->AnswerMemory = &Owner.heldAnswerMemory();
   pending.Request->Route = route.Name;
   pending.Request->Service = Owner.partFor(route);
   pending.Service = Owner.service(pending.Request->Service);
--- a/Services/Gateway/UpstreamExchange.cpp
+++ b/Services/Gateway/UpstreamExchange.cpp
@@ -17,8 +17,9 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
-// Bodies of health answers and of answers to earlier requests, which nobody gets.
-constexpr std::size_t MaxDroppedBytes = 2 * 1024 * 1024;
+// Bodies of answers to earlier requests, and of health answers, which nobody gets.
+constexpr std::size_t MaxForeignBytes = 2 * 1024 * 1024;
+constexpr std::size_t MaxHealthBytes = 64 * 1024;
 constexpr std::size_t FirstReadBytes = 4 * 1024;
 constexpr std::size_t ReadBytes = 64 * 1024;
 constexpr int FirstFailureStatus = 300;
@@ -45,14 +46,18 @@
   return head;
 }
 
-asio::awaitable<BodyEnd> readBody(UpstreamConnection &connection, std::string &body,
+/// Reads a body up to the limit, or as far as there is memory for it.
+asio::awaitable<BodyEnd> readBody(UpstreamConnection &connection, HeldBody &body,
                                   std::size_t limit) {
+  std::string &bytes = body.Bytes;
   std::size_t step = FirstReadBytes;
-  while (body.size() < limit) {
-    const std::size_t had = body.size();
-    body.resize(had + step);
-    const BodyPart part = co_await connection.readBody({body.data() + had, step});
-    body.resize(had + part.Size);
+  while (bytes.size() < limit) {
+    const std::size_t had = bytes.size();
+    if (!body.Memory.ensure(had + step))
+      co_return BodyEnd::TooLarge;
+    bytes.resize(had + step);
+    const BodyPart part = co_await connection.readBody({bytes.data() + had, step});
+    bytes.resize(had + part.Size);
     if (part.IsBroken)
       co_return BodyEnd::Broken;
     if (part.IsLast)
@@ -62,6 +67,18 @@
   co_return BodyEnd::TooLarge;
 }
 
+/// Reads a body that nobody gets. False when it doesn't end within the limit.
+asio::awaitable<bool> dropBody(UpstreamConnection &connection, std::size_t limit) {
+  std::array<char, FirstReadBytes> buf{};
+  for (std::size_t n = 0; n < limit;) {
+    const BodyPart part = co_await connection.readBody(buf);
+    if (part.IsBroken || part.IsLast)
+      co_return !part.IsBroken;
+    n += part.Size;
+  }
+  co_return false;
+}
+
 bool isOwnAnswer(const HttpResponseHead &head, const ProxiedRequest &request) {
   return headerValue(head, platform::AttemptIdHeader) == request.CallerAttempt;
 }
@@ -79,8 +96,7 @@
     if (head->find(platform::AttemptIdHeader) == head->end())
       co_return head;
     sawForeign = true;
-    std::string dropped;
-    if (co_await readBody(connection, dropped, MaxDroppedBytes) != BodyEnd::Whole)
+    if (!co_await dropBody(connection, MaxForeignBytes))
       co_return nullptr;
   }
   co_return nullptr;
@@ -137,7 +153,9 @@
   // A rejection with this status may come from another upstream that has the address by now.
   if (isOwnAnswer(*head, *request) && head->result_int() != Misdirected)
     service->didReadHead(*attempt->Upstream, *head);
-  std::string body;
+  HeldBody body;
+  if (request->AnswerMemory)
+    body.Memory = request->AnswerMemory->reserve(0);
   const BodyEnd end = co_await readBody(*connection, body, request->MaxHeldBytes);
   if (attempt->IsAbandoned)
     co_return;
@@ -145,7 +163,7 @@
   const ResponseInfo facts{
       .Kind = kind,
       .Load = platform::parseLoadReport(headerValue(*head, platform::UpstreamLoadHeader)),
-      .Bytes = body.size()};
+      .Bytes = body.Bytes.size()};
   HttpResponseHead relayed = callerHead(*head);
   const TimePoint now = bootTimeNow();
   if (kind != ResponseKind::Success)
@@ -213,11 +231,10 @@
     co_return service->probeFailed(probe);
   const bool isSame = headerValue(*head, platform::UpstreamIdHeader) == upstream->Record.Id;
   const auto load = platform::parseLoadReport(headerValue(*head, platform::UpstreamLoadHeader));
-  std::string body;
-  const BodyEnd end = co_await readBody(*connection, body, MaxDroppedBytes);
+  const bool isWhole = co_await dropBody(*connection, MaxHealthBytes);
   if (isSame)
     service->didReadHead(*upstream, *head);
-  if (!isSame || !load || end != BodyEnd::Whole)
+  if (!isSame || !load || !isWhole)
     co_return service->probeFailed(probe);
   lease.giveBack();
   service->probeAnswered(probe, *load);
--- a/Tests/Gateway/GatewayFixture.cpp
+++ b/Tests/Gateway/GatewayFixture.cpp
@@ -54,9 +54,10 @@
 
 FakeReply PlatformUpstream::answer(const std::string &request) {
   if (request.starts_with(HealthRequest))
-    return {fmt::format("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n{}: {}\r\n{}: 0,0,3,100\r\n{}\r\n",
-                        platform::UpstreamIdHeader, Id, platform::UpstreamLoadHeader,
-                        HealthFields)};
+    return {
+        fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n{}: {}\r\n{}: 0,0,3,100\r\n{}\r\n{}",
+                    HealthLength, platform::UpstreamIdHeader, Id, platform::UpstreamLoadHeader,
+                    HealthFields, HealthBody)};
   return Answer(fieldOf(request, platform::AttemptIdHeader));
 }
 
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -30,6 +30,9 @@
 
   /// Further fields of all answers to health checks, each with its line end.
   std::string HealthFields;
+  /// Announced length and body of all answers to health checks.
+  std::size_t HealthLength = 0;
+  std::string HealthBody;
 
 private:
   FakeReply answer(const std::string &request);
--- a/Tests/Gateway/TestEndlessAnswers.cpp
+++ b/Tests/Gateway/TestEndlessAnswers.cpp
@@ -4,7 +4,10 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <chrono>
+#include <memory>
+#include <vector>
 
 namespace wigeonlift {
 
@@ -102,4 +105,54 @@
   EXPECT_GE(caller->body().size(), sent);
 }
 
+// Guards against a process that keeps all that upstreams send and runs out of memory: answers that
+// there is no memory to hold are passed on as they come. The settings of these tests allow 2 MiB.
+TEST_F(GatewayFixture, AnswersOfAllRequestsShareABound) {
+  constexpr std::size_t announced = 1'800'000;
+  constexpr std::size_t sent = 1'000'000;
+  constexpr int requests = 12;
+  constexpr int mostHeld = 2;
+  const PlatformUpstream::Script stalls = [&](const std::string &id) -> FakeReply {
+    return {sealedHead(id, fmt::format("Content-Length: {}\r\n", announced)) +
+            std::string(sent, 'x')};
+  };
+  std::vector<std::unique_ptr<PlatformUpstream>> upstreams;
+  std::vector<const PlatformUpstream *> listed;
+  for (int n = 0; n < requests; ++n) {
+    upstreams.push_back(
+        std::make_unique<PlatformUpstream>(Context, fmt::format("i-{}", n), stalls));
+    listed.push_back(upstreams.back().get());
+  }
+  configure(listed);
+  const std::size_t all = Core.heldAnswerMemory().room();
+  std::vector<std::shared_ptr<RawCaller>> callers;
+  for (int n = 0; n < requests; ++n) {
+    callers.push_back(connect());
+    callers.back()->send(callerRequest("GET", "/bulk/1", fmt::format("attempt-{}", n)));
+  }
+  const auto isPassedOn = [](const auto &it) { return it->Received.size() > sent; };
+  runUntil([&] { return std::ranges::count_if(callers, isPassedOn) >= requests - mostHeld; });
+  EXPECT_LT(Core.heldAnswerMemory().room(), all);
+  for (const auto &it : callers)
+    it->close();
+  runUntil([&] { return Callers.connections() == 0; });
+  runUntil([&] { return Core.heldAnswerMemory().room() == all; });
+}
+
+// Guards against health answers whose bodies are read and kept as long as they come.
+TEST_F(GatewayFixture, LargeHealthAnswersAreGivenUp) {
+  constexpr std::size_t announced = 1'000'000'000;
+  constexpr std::size_t sent = 200'000;
+  PlatformUpstream upstream{
+      Context, "i-1", [](const std::string &id) -> FakeReply { return {sealedAnswer(id, id)}; }};
+  upstream.HealthLength = announced;
+  upstream.HealthBody = std::string(sent, 'x');
+  configure({&upstream});
+  const auto begin = std::chrono::steady_clock::now();
+  const auto caller = connect();
+  caller->send(callerRequest("GET", "/look/1", "attempt-1"));
+  runUntil([&] { return upstream.closedConnections() > 0; });
+  EXPECT_LT(std::chrono::steady_clock::now() - begin, 100ms);
+}
+
 } // namespace wigeonlift
