Gateway: End connections whose callers have closed during a stop

Cause: a session that closes behind an answer drops what the caller still sends. When the caller's close had been read already, by the task that waits for its next request, the second read never ends: the kernel tells of a close once. The connection stayed for the whole linger of 1 s. It has always been so during stops; connections that the caller asked to close wait elsewhere and are not concerned.

Change: no read behind the caller's close.

--- a/Services/Gateway/CallerSession.cpp
+++ b/Services/Gateway/CallerSession.cpp
@@ -68,7 +68,8 @@
     abandonRequests();
   }
   wake(RequestAdded);
-  if (isOpen)
+  // Nothing comes behind the caller's close, and nothing would tell so a second time.
+  if (isOpen && !HasInputClosed)
     co_await Caller->discardInput();
   Linger.cancel();
   Caller->close();
@@ -76,8 +77,10 @@
 
 asio::awaitable<bool> CallerSession::readRequest() {
   auto pending = co_await Intake.next();
-  if (!pending)
+  if (!pending) {
+    HasInputClosed = true;
     co_return IsEnding;
+  }
   if (!IsEnding)
     take(std::move(*pending));
   co_return true;
--- a/Services/Gateway/CallerSession.h
+++ b/Services/Gateway/CallerSession.h
@@ -57,6 +57,8 @@
   std::uint64_t Answered = 0;
   int RunningTasks = 0;
   bool IsCallerGone = false;
+  /// The caller has closed its side, also when it did so behind its last answer.
+  bool HasInputClosed = false;
   /// No further request is read.
   bool IsInputEnded = false;
   /// No answer follows the current one.
--- a/Services/Gateway/Daemon.cpp
+++ b/Services/Gateway/Daemon.cpp
@@ -118,6 +118,9 @@
     co_await timer.async_wait(Completion);
     Callers.closeIdleSince(bootTimeNow() - StopIdle);
   }
+  Log.write(EventLog::Priority::Important, "stop_ends",
+            {{"connections", fmt::format("{}", Callers.connections())},
+             {"busy", Callers.isBusy() ? "1" : "0"}});
   Context.stop();
 }
 
--- a/Tests/Gateway/TestGracefulStop.cpp
+++ b/Tests/Gateway/TestGracefulStop.cpp
@@ -90,6 +90,11 @@
   EXPECT_EQ(unknown, static_cast<int>(Silent.requests().size()));
   EXPECT_EQ(refused, requests - unknown);
   EXPECT_GT(refused, 0);
+  for (const auto &it : callers)
+    it->close();
+  const auto closedAt = std::chrono::steady_clock::now();
+  runUntil([&] { return Callers.connections() == 0; });
+  EXPECT_LT(std::chrono::steady_clock::now() - closedAt, 100ms);
 }
 
 // Guards against pipelined requests that have been read, wait for earlier ones on their connection,
