Gateway: Count bodies in chunks as they grow, and drop those of rejected requests

Cause: bodies share a quarter of the memory, but one without a length was counted only when it was whole, and that of a rejected request was held and not counted.

Change: a body in chunks takes its memory as it grows, and its request is refused when there is no more; bodies that nobody gets are dropped as they are read. A rejected request that waits for 100 Continue gets its answer at once.

UploadsInChunksShareABound also shows that the memory is free again.

--- a/Libraries/LibHttp/CallerConnection.cpp
+++ b/Libraries/LibHttp/CallerConnection.cpp
@@ -122,10 +122,14 @@
   co_return !ec;
 }
 
-asio::awaitable<ReadResult> CallerConnection::readBody(std::string &body, std::size_t limit) {
+asio::awaitable<ReadResult> CallerConnection::readBody(std::string &body, std::size_t limit,
+                                                       MayHold mayHold) {
   while (!Reader->Request->is_done()) {
     const std::size_t had = body.size();
-    body.resize(had + std::min(BodyStepBytes, limit + 1 - had));
+    const std::size_t wanted = had + std::min(BodyStepBytes, limit + 1 - had);
+    if (mayHold && !mayHold(wanted))
+      co_return ReadResult::TooLarge;
+    body.resize(wanted);
     const auto part = co_await readBodyPart({body.data() + had, body.size() - had});
     body.resize(had + part.Size);
     if (part.IsBroken)
@@ -136,6 +140,20 @@
   co_return ReadResult::Complete;
 }
 
+asio::awaitable<ReadResult> CallerConnection::dropBody(std::size_t limit) {
+  std::array<char, BodyStepBytes> buf{};
+  std::size_t dropped = 0;
+  while (!Reader->Request->is_done()) {
+    const BodyPart part = co_await readBodyPart(buf);
+    dropped += part.Size;
+    if (part.IsBroken)
+      co_return ReadResult::Closed;
+    if (dropped > limit)
+      co_return ReadResult::TooLarge;
+  }
+  co_return ReadResult::Complete;
+}
+
 asio::awaitable<BodyPart> CallerConnection::readBodyPart(std::span<char> buf) {
   ReadExpiresAt = bootTimeNow() + ProgressLimit;
   const BodyPart part = co_await readPart(Socket, Reader->Buffer, *Reader->Request, buf);
--- a/Libraries/LibHttp/CallerConnection.h
+++ b/Libraries/LibHttp/CallerConnection.h
@@ -26,6 +26,9 @@
   TooLarge,  ///< The head or the body is over the limit.
 };
 
+/// Tells whether so many bytes of a body may be held.
+using MayHold = std::function<bool(std::size_t bytes)>;
+
 /// Bounds of what a caller may send, and of how long it may take.
 struct ConnectionLimits {
   std::uint32_t HeadBytes = 32 * 1024;
@@ -61,9 +64,12 @@
   bool awaitsContinue() const;
   /// Tells a caller that waits for it to send the body.
   boost::asio::awaitable<bool> writeContinue();
-  /// Reads the body. With `TooLarge` the text holds what was read before the limit was passed, and
-  /// `readBodyPart` continues.
-  boost::asio::awaitable<ReadResult> readBody(std::string &body, std::size_t limit);
+  /// Reads the body. With `TooLarge` the text holds what was read before the limit was passed, or
+  /// before `mayHold` refused more, and `readBodyPart` continues.
+  boost::asio::awaitable<ReadResult> readBody(std::string &body, std::size_t limit,
+                                              MayHold mayHold = {});
+  /// Reads the body and keeps nothing of it.
+  boost::asio::awaitable<ReadResult> dropBody(std::size_t limit);
   /// Reads the next part of the body into the buffer.
   boost::asio::awaitable<BodyPart> readBodyPart(std::span<char> buf);
 
--- a/Services/Gateway/BodyMemory.h
+++ b/Services/Gateway/BodyMemory.h
@@ -49,8 +49,7 @@
   };
 
   std::size_t room() const { return Held < Limit ? Limit - Held : 0; }
-  /// Counts bytes also beyond the limit: a body without an announced length is only known when it
-  /// has been read.
+  /// Counts the bytes also beyond the limit; the caller looks for room first.
   Reservation reserve(std::size_t bytes) { return {*this, bytes}; }
 
 private:
--- a/Services/Gateway/RequestIntake.cpp
+++ b/Services/Gateway/RequestIntake.cpp
@@ -180,15 +180,17 @@
     co_return true;
   }
   pending.Body = memory.reserve(announced);
+  body.reserve(announced);
   if (Caller.awaitsContinue()) {
     if (!co_await WaitForTurn())
       co_return false;
     co_await Caller.writeContinue();
   }
-  const std::size_t most = std::min(maxBody, announced + memory.room());
-  const ReadResult read = co_await Caller.readBody(body, most);
+  // The length of a body in chunks isn't known before its end.
+  const MayHold mayHold = [&pending](std::size_t bytes) { return pending.Body.ensure(bytes); };
+  const ReadResult read = co_await Caller.readBody(body, maxBody, mayHold);
   if (read == ReadResult::TooLarge)
-    rejectBody(pending, most < maxBody);
+    rejectBody(pending, body.size() <= maxBody);
   else
     pending.Body = memory.reserve(body.size());
   co_return read != ReadResult::Closed;
@@ -196,6 +198,7 @@
 
 void RequestIntake::rejectBody(PendingRequest &pending, bool lacksMemory) {
   pending.EndsConnection = true;
+  pending.Body = {};
   pending.Rejected = lacksMemory ? Rejection{Unavailable, "no memory for the body", NoMemoryRetry}
                                  : Rejection{.Status = BodyTooLarge, .Why = "body too large"};
 }
@@ -203,8 +206,12 @@
 asio::awaitable<bool> RequestIntake::skipBody(PendingRequest &pending) {
   if (pending.EndsConnection || !Caller.hasBody())
     co_return true;
-  std::string unread;
-  const ReadResult read = co_await Caller.readBody(unread, maxBodyBytes());
+  // A caller that waits to be told sends the body or not when it gets the answer.
+  if (Caller.awaitsContinue()) {
+    pending.EndsConnection = true;
+    co_return true;
+  }
+  const ReadResult read = co_await Caller.dropBody(maxBodyBytes());
   pending.EndsConnection = read != ReadResult::Complete;
   co_return read != ReadResult::Closed;
 }
--- a/Tests/Gateway/TestDataPath.cpp
+++ b/Tests/Gateway/TestDataPath.cpp
@@ -297,4 +297,56 @@
   EXPECT_TRUE(upstream.requests().empty());
 }
 
+namespace {
+
+/// The head of an upload in chunks, and chunks of so many bytes without the last one.
+std::string chunkedUpload(const std::string &target, const std::string &attemptId,
+                          std::size_t bytes) {
+  return fmt::format("POST {} HTTP/1.1\r\nHost: h.example\r\n{}: {}\r\n{}: 2000\r\n"
+                     "Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{}\r\n",
+                     target, platform::AttemptIdHeader, attemptId,
+                     platform::DeadlineRemainingHeader, bytes, std::string(bytes, 'x'));
+}
+
+} // namespace
+
+// Guards against uploads in chunks that together take a process over its memory: each was counted
+// when it was whole. The settings of these tests allow 2 MiB for all, the configuration 1 MB each.
+TEST_F(GatewayFixture, UploadsInChunksShareABound) {
+  constexpr std::size_t bytes = 900'000;
+  constexpr int uploads = 5;
+  constexpr int mostHeld = 2;
+  PlatformUpstream upstream{
+      Context, "i-1", [](const std::string &id) -> FakeReply { return {sealedAnswer(id, id)}; }};
+  configure({&upstream});
+  const std::size_t all = Core.bodyMemory().room();
+  std::vector<std::shared_ptr<RawCaller>> callers;
+  for (int n = 0; n < uploads; ++n) {
+    callers.push_back(connect());
+    callers.back()->send(chunkedUpload("/record/1", fmt::format("a-{}", n), bytes));
+  }
+  const auto isRefused = [](const auto &it) { return statusOf(*it) == 503; };
+  runUntil([&] { return std::ranges::count_if(callers, isRefused) == uploads - mostHeld; });
+  EXPECT_LT(Core.bodyMemory().room(), all);
+  for (const auto &it : callers)
+    if (!isRefused(it))
+      it->send("0\r\n\r\n");
+  const auto isServed = [](const auto &it) { return statusOf(*it) == 200; };
+  runUntil([&] { return std::ranges::count_if(callers, isServed) == mostHeld; });
+  for (const auto &it : callers)
+    it->close();
+  runUntil([&] { return Callers.connections() == 0; });
+  EXPECT_EQ(Core.bodyMemory().room(), all);
+}
+
+// Guards against a caller that waits to be told to send a body, for a request that is rejected.
+TEST_F(GatewayFixture, ARejectedRequestIsNotAskedForItsBody) {
+  PlatformUpstream upstream{Context, "i-1", [](const std::string &) -> FakeReply { return {}; }};
+  configure({&upstream});
+  const std::string request =
+      callerRequest("POST", "/gone/1", "a-1", "a belt", "Expect: 100-continue\r\n");
+  const auto caller = ask(request.substr(0, request.size() - std::string_view{"a belt"}.size()));
+  EXPECT_EQ(statusOf(*caller), 404);
+}
+
 } // namespace wigeonlift
