--- a/Meta/soak/__main__.py
+++ b/Meta/soak/__main__.py
@@ -12,6 +12,7 @@
 
 from .callers import HOST, Caller, exchange_once
 from .fleet import Fleet, Vm
+from . import patient
 from .judge import CONFIG_S, SLACK_S, Judge
 from .plan import Plan, configuration
 from .relay import Relay
@@ -31,7 +32,7 @@
         self.options = options
         self.judge = Judge()
         self.rng = new_random(options.seed, "plan")
-        self.services = SERVICES
+        self.services = (*SERVICES, patient.SERVICE) if options.patient else SERVICES
         self.net = f"127.{20 + options.seed % 100}.{os.getpid() % 200}"
         self.store = Store(f"{self.net}.250:8541")
         self.log = open(options.log or os.path.join(folder, "vms.log"), "wb")
@@ -42,11 +43,11 @@
         self.started = 0
         self.began = time.monotonic()
 
-    async def add_upstream(self, service, zone):
+    async def add_upstream(self, service, zone, work_s=0.04):
         self.started += 1
         host, name = f"{self.net}.{100 + self.started % 140}", f"i-{self.started:04d}"
         port = UPSTREAM_PORT + 2 * self.started
-        upstream = Upstream(name, service, f"{host}:{port}", zone, 0.04, self.judge, new_random(self.options.seed, name))
+        upstream = Upstream(name, service, f"{host}:{port}", zone, work_s, self.judge, new_random(self.options.seed, name))
         await upstream.start(host, port + 1)
         self.relays[name] = Relay(f"{host}:{port}", f"{host}:{port + 1}")
         await self.relays[name].start()
@@ -63,10 +64,12 @@
 
     async def run(self):
         await self.store.start(self.fleet.vms)
-        self.store.put("op/config", configuration([1], SERVICES, False))
+        self.store.put("op/config", configuration([1], self.services, False))
         self.store.put("servers/other-writer", b"\xff not an entry")
         for n in range(self.options.upstreams):
             await self.add_upstream(SERVICES[n % 2], ZONES[n % 3])
+        if self.options.patient:
+            await patient.Patient.add_upstreams(self)
         await asyncio.gather(*(vm.start() for vm in self.fleet.vms))
         await asyncio.sleep(2)
         until = time.monotonic() + self.options.seconds
@@ -75,7 +78,10 @@
                    for n in range(self.options.callers)]
         loop_until = asyncio.get_running_loop().time() + self.options.seconds + RECOVERY_S
         notices = Plan.of_notices(self, new_random(self.options.seed, "notices"))
-        faults = () if self.options.calm else (plan.run(until), notices.run(until))
+        if self.options.patient:
+            faults = (patient.Patient(self, plan).run(until), plan.run(until))
+        else:
+            faults = () if self.options.calm else (plan.run(until), notices.run(until))
         if self.options.silence:
             faults += (Silence(self, plan, new_random(self.options.seed, "silence")).run(until),)
         await asyncio.gather(*faults, self.watch_configuration(until, plan),
@@ -154,6 +160,7 @@
     parser.add_argument("--callers", type=int, default=30)
     parser.add_argument("--calm", action="store_true", help="without faults")
     parser.add_argument("--silence", action="store_true", help="with VMs that fall silent within a second of changes")
+    parser.add_argument("--patient", action="store_true", help="planned stops only, with callers that have much time")
     parser.add_argument("--log", help="file for what the processes write")
     options = parser.parse_args()
     # Handlers of open connections end with the loop, which is no news.
--- a/Meta/soak/callers.py
+++ b/Meta/soak/callers.py
@@ -6,11 +6,11 @@
 import uuid
 
 from . import wire
+from .judge import LOSS_SLACK_S
 from .upstream import seal
 
 CONNECT_TIMEOUT_S = 1.0
 DIRECTORY_TIMEOUT_S = 1.0
-LOSS_SLACK_S = 0.2
 # Requests that are sent before the answers to earlier ones, as a share of the idempotent ones.
 PIPELINED_SHARE = 0.3
 MAX_DEPTH = 5
--- a/Meta/soak/judge.py
+++ b/Meta/soak/judge.py
@@ -17,6 +17,8 @@
 # Requests that may reach an upstream from a VM that it has asked to stay away, after the time that the answer takes.
 STAY_AWAY_EXTRA = 2
 STAY_AWAY_SLACK_S = 0.5
+# A close that crosses a request is allowed for so long after the request was sent.
+LOSS_SLACK_S = 0.2
 # What the judge itself takes to notice an event.
 SLACK_S = 0.3
 # A fault excuses what it concerns until this long after its end.
@@ -158,6 +160,9 @@
     def did_drop(self, attempt, is_planned_stop):
         """A request was sent behind an answer that closed its connection."""
         self.outcomes["behind a close"] += 1
+        age = time.monotonic() - self.requests[attempt][4]
+        if age > LOSS_SLACK_S + SLACK_S and is_planned_stop and not self.is_disturbed(time.monotonic() - 3, time.monotonic()):
+            self.broke("graceful-stop", f"{attempt} got no answer {age:.2f} s after it was sent, behind one that closed its connection")
         if self.runs[attempt] and is_planned_stop:
             self.broke("graceful-stop", f"{attempt} ran behind an answer that closed its connection")
 
--- a/Meta/soak/plan.py
+++ b/Meta/soak/plan.py
@@ -27,6 +27,9 @@
     routes = [route("look", "/look/", "safe", services[0], "1200ms", "400ms", 2),
               route("record", "/record/", "unsafe", services[1], "1500ms", "600ms", 1),
               route("bulk", "/bulk/", "download", services[1 if moved else 0], "1500ms", "600ms", 2)]
+    # Services beyond these two are slow.
+    for it in services[2:]:
+        routes.append(route(it, "/slow/", "unsafe", it, "12s", "10s", 3))
     if version % 2:
         routes.append(route("odd", "/odd/", "safe", services[0], "1200ms", "400ms", 2))
     for it in versions[-MARKED_VERSIONS:]:
--- a/Meta/soak/planted.py
+++ b/Meta/soak/planted.py
@@ -54,6 +54,11 @@
     it = judge()
     it.did_break("x", True)
     yield "graceful-stop", it
+    # A request that came long before the answer that closed its connection.
+    it = judge()
+    it.requests["x"] = (*it.requests["x"][:4], time.monotonic() - 1)
+    it.did_drop("x", True)
+    yield "graceful-stop", it
     it = judge()
     it.did_run("x", Place, message())
     it.did_drop("x", True)
