Gateway: Serve routes whose timeout is much shorter than their objective

Cause: until a request of a route has succeeded, its work is guessed as 0.4 of its latency objective. With a timeout of at most that, the latest start lay before the arrival, so none was ever sent and the guess stayed.

Change: the objective counts no further than the timeout, behind which no answer comes.

--- a/Services/Gateway/RequestIntake.cpp
+++ b/Services/Gateway/RequestIntake.cpp
@@ -136,7 +136,9 @@
   const Duration waited =
       stated ? Owner.callerWait().waitedBefore(route.Name, left) : Duration::zero();
   const TimePoint deadline = ArrivedAt + std::min(left - AnswerWay, route.Timeout.value_or(left));
-  const Duration target = route.TargetLatency > Duration::zero() ? route.TargetLatency : left;
+  // No answer comes after the timeout, so an objective beyond it says nothing of the work.
+  const Duration objective = route.TargetLatency > Duration::zero() ? route.TargetLatency : left;
+  const Duration target = std::min(objective, route.Timeout.value_or(objective));
   return {.Id = Owner.nextCallId(),
           .Class = route.Class,
           .Kind = Owner.kindOf(route),
--- a/Tests/Gateway/GatewayFixture.cpp
+++ b/Tests/Gateway/GatewayFixture.cpp
@@ -22,7 +22,9 @@
     R"({"name":"record","host":"h.example","prefix":"/record/","route-kind":"unsafe","timeout":"1500ms",)"
     R"("target-latency":"600ms","priority":1,"max-attempts":2,"service":"s"},)"
     R"({"name":"bulk","host":"h.example","prefix":"/bulk/","route-kind":"download","timeout":"1500ms",)"
-    R"("target-latency":"600ms","priority":2,"max-attempts":2,"service":"s"}],"services":[{"name":"s",)"
+    R"("target-latency":"600ms","priority":2,"max-attempts":2,"service":"s"},)"
+    R"({"name":"brief","host":"h.example","prefix":"/brief/","route-kind":"safe","timeout":"400ms",)"
+    R"("target-latency":"1s","priority":2,"max-attempts":2,"service":"s"}],"services":[{"name":"s",)"
     R"("health-check-path":"/hc","max-connections":200}],"limits":{"max-header-bytes":16384,)"
     R"("max-body-bytes":1000000,"header-timeout":"3s","idle-timeout":"15s"}})";
 
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -48,8 +48,9 @@
 protected:
   GatewayFixture();
 
-  /// Puts a configuration with the routes `/look/` (safe), `/record/` (unsafe) and `/bulk/`
-  /// (download) of `h.example` in force, and the upstreams that serve all of them.
+  /// Puts a configuration with the routes `/look/` (safe), `/record/` (unsafe), `/bulk/`
+  /// (download) and `/brief/` (safe, its timeout shorter than its objective) of `h.example` in
+  /// force, and the upstreams that serve all of them.
   void configure(const std::vector<const PlatformUpstream *> &upstreams);
   std::shared_ptr<RawCaller> connect();
   /// Sends bytes on a connection of its own and waits for the whole answer or the end.
--- a/Tests/Gateway/TestDataPath.cpp
+++ b/Tests/Gateway/TestDataPath.cpp
@@ -349,4 +349,12 @@
   EXPECT_EQ(statusOf(*caller), 404);
 }
 
+// Guards against a route that is refused for good: its timeout was at most 0.4 of its objective,
+// from which its work time is guessed until a request has succeeded.
+TEST_F(GatewayFixture, ARouteWithAShortTimeoutIsServed) {
+  PlatformUpstream upstream{Context, "i-1", success};
+  configure({&upstream});
+  EXPECT_EQ(statusOf(*ask(callerRequest("GET", "/brief/1", "attempt-1"))), 200);
+}
+
 } // namespace wigeonlift
