--- a/Libraries/LibDiscovery/UpstreamList.cpp
+++ b/Libraries/LibDiscovery/UpstreamList.cpp
@@ -37,8 +37,9 @@
   const TimePoint drained = removal.EarliestAt + Bounds.DrainTimeout - DispatchTime;
   // Nobody sees when the store returns. It may have been right after it was last known to be down,
   // and the upstream may have left before the outage. From then on the drain timeout holds again.
-  const TimePoint settled =
-      removal.StoreDownAt.value_or(TimePoint{}) + Bounds.StoreSettleTime - DispatchTime;
+  const TimePoint settled = removal.StoreDownAt
+                                ? *removal.StoreDownAt + Bounds.StoreSettleTime - DispatchTime
+                                : TimePoint::min();
   switch (removal.Kind) {
   case RemovalKind::Final:
     return now;
--- a/Services/Gateway/RequestIntake.cpp
+++ b/Services/Gateway/RequestIntake.cpp
@@ -66,12 +66,12 @@
   if (result == ReadResult::Closed)
     co_return std::nullopt;
   IsReceiving = true;
-  auto pending = co_await receive(result);
+  auto pending = co_await receiveRest(result);
   IsReceiving = false;
   co_return pending;
 }
 
-asio::awaitable<std::optional<PendingRequest>> RequestIntake::receive(ReadResult result) {
+asio::awaitable<std::optional<PendingRequest>> RequestIntake::receiveRest(ReadResult result) {
   ArrivedAt = bootTimeNow();
   if (result == ReadResult::Complete)
     co_await Owner.awaitConfiguration(
--- a/Services/Gateway/RequestIntake.h
+++ b/Services/Gateway/RequestIntake.h
@@ -28,8 +28,8 @@
   bool isReceiving() const { return IsReceiving; }
 
 private:
-  /// Reads what follows the head.
-  boost::asio::awaitable<std::optional<PendingRequest>> receive(ReadResult headResult);
+  /// Judges the head that was read and takes the rest of the request.
+  boost::asio::awaitable<std::optional<PendingRequest>> receiveRest(ReadResult headResult);
   void applyLimits();
   /// Finds the route of a request by its head, or why it isn't passed on.
   std::optional<Rejection> judgeHead(ReadResult result, std::optional<Route> &route);
--- a/Tests/LibFleet/ModelFleet.cpp
+++ b/Tests/LibFleet/ModelFleet.cpp
@@ -278,11 +278,20 @@
 }
 
 void ModelFleet::change() {
-  StoreItems[Rng.below(Keys)].Revision = ++Revision;
+  write(StoreItem{StoreItems[Rng.below(Keys)]});
   Changes.push_back({.Revision = Revision, .At = Now});
+}
+
+void ModelFleet::write(StoreItem item) {
+  item.Revision = ++Revision;
+  const auto it = std::ranges::find(StoreItems, item.Key, &StoreItem::Key);
+  if (it == StoreItems.end())
+    StoreItems.push_back(std::move(item));
+  else
+    *it = std::move(item);
   const auto open = std::exchange(Watches, {});
-  for (const auto &it : open)
-    it->Answer();
+  for (const auto &watch : open)
+    watch->Answer();
 }
 
 TimePoint ModelFleet::dueTime(const Change &change) const {
--- a/Tests/LibFleet/ModelFleetUpstreams.cpp
+++ b/Tests/LibFleet/ModelFleetUpstreams.cpp
@@ -32,18 +32,6 @@
 
 } // namespace
 
-void ModelFleet::write(StoreItem item) {
-  item.Revision = ++Revision;
-  const auto it = std::ranges::find(StoreItems, item.Key, &StoreItem::Key);
-  if (it == StoreItems.end())
-    StoreItems.push_back(std::move(item));
-  else
-    *it = std::move(item);
-  const auto open = std::exchange(Watches, {});
-  for (const auto &watch : open)
-    watch->Answer();
-}
-
 void ModelFleet::writeUpstream(const std::string &id) { write({.Key = id, .Value = "v"}); }
 
 void ModelFleet::removeUpstream(const std::string &id) { write({.Key = id, .IsRemoved = true}); }
