Tests/LibFleet: Play removals round outages beside bad links and with other bounds

Guards against a grace period that fits one settle time or one drain timeout. 12 VMs: 240 runs beside faults of VMs and of links, 360 with settle times of 2 and 5 s and a drain timeout of 3.5 s; no late use, nor in two more sets of seeds.

--- a/Tests/LibFleet/TestUpstreamRemovals.cpp
+++ b/Tests/LibFleet/TestUpstreamRemovals.cpp
@@ -16,6 +16,8 @@
   Duration DrainTimeout = ms(2000);
   /// Whether VMs lose power, freeze and are cut off as well.
   bool HasFaults = false;
+  bool HasLinkFaults = false;
+  Duration StoreSettleTime = ms(3000);
 };
 
 /// Simulates outages of the store of different lengths, refusing and silent ones, and expects that
@@ -29,11 +31,13 @@
                                .DataCentres = outages.DataCentres,
                                .ChangeDeadline = outages.DrainTimeout,
                                .HasFaults = outages.HasFaults,
+                               .HasLinkFaults = outages.HasLinkFaults,
                                .HasChanges = false,
                                .StoreOutage = ms(600 + 97 * (n % 60)),
                                .IsOutageSilent = n % 2 == 0,
                                .HasUpstreams = true,
-                               .DrainTimeout = outages.DrainTimeout};
+                               .DrainTimeout = outages.DrainTimeout,
+                               .StoreSettleTime = outages.StoreSettleTime};
     ModelFleet fleet{options, seed};
     const auto violations = fleet.run();
     EXPECT_TRUE(violations.empty())
@@ -60,5 +64,13 @@
 TEST(UpstreamRemovals, EndInTimeBesideFaultsOfVms) {
   expectRemovalsInTime({.Runs = 240, .FirstSeed = 2001, .HasFaults = true});
 }
+TEST(UpstreamRemovals, EndInTimeBesideBadLinks) {
+  expectRemovalsInTime({.Runs = 240, .FirstSeed = 3001, .HasFaults = true, .HasLinkFaults = true});
+}
+TEST(UpstreamRemovals, EndInTimeWithOtherBounds) {
+  expectRemovalsInTime({.Runs = 120, .FirstSeed = 4001, .StoreSettleTime = ms(2000)});
+  expectRemovalsInTime({.Runs = 120, .FirstSeed = 5001, .StoreSettleTime = ms(5000)});
+  expectRemovalsInTime({.Runs = 120, .FirstSeed = 6001, .DrainTimeout = ms(3500)});
+}
 
 } // namespace wigeonlift::test
