Tests/Gateway: Give graceful stops a longer grace time

With 900 ms, answers had 15 ms between their due time and the end that the test waits for; a busy machine needs more. Now the grace time is 1.4 s, still shorter than the routes' time, and the tests wait for the end at which the process leaves with answers due (58 ms). The test of late bodies keeps 900 ms, since later ones are refused for their objective.

--- a/Tests/Gateway/TestGracefulStop.cpp
+++ b/Tests/Gateway/TestGracefulStop.cpp
@@ -11,7 +11,8 @@
 
 using namespace std::chrono_literals;
 
-constexpr Duration Grace = 900ms;
+// Shorter than the time of the routes.
+constexpr Duration Grace = 1400ms;
 constexpr int Unavailable = 503;
 constexpr int GatewayTimeout = 504;
 const std::string LateId = "late";
@@ -40,9 +41,11 @@
 /// callers and the routes have more time than that.
 class GracefulStop : public GatewayFixture {
 protected:
-  GracefulStop() {
+  GracefulStop() { setGrace(Grace); }
+
+  void setGrace(Duration grace) {
     GatewaySettings settings = Core.settings();
-    settings.Bounds.StopGrace = Grace;
+    settings.Bounds.StopGrace = grace;
     Core.setSettings(settings);
   }
 
@@ -53,8 +56,8 @@
     runUntil([&] { return bootTimeNow() >= time; });
   }
   void beginStop() { Core.beginStop(bootTimeNow()); }
-  /// Runs until the process would end.
-  void runToTheEnd() { runUntilTime(Core.stopPlan().end()); }
+  /// Runs until the process would end while an answer is still due.
+  void runToTheEnd() { runUntilTime(Core.stopPlan().lastEnd()); }
   std::shared_ptr<RawCaller> send(const std::string &requests) {
     auto caller = connect();
     caller->send(requests);
@@ -119,7 +122,7 @@
 // one has arrived there long before.
 TEST_F(GracefulStop, AnswersRequestsThatComeWhileOthersRun) {
   PlatformUpstream slow{Context, "i-1", [](const std::string &id) -> FakeReply {
-                          return {.Bytes = sealedAnswer(id, id), .Delay = 600ms};
+                          return {.Bytes = sealedAnswer(id, id), .Delay = 1000ms};
                         }};
   configure({&slow});
   const auto caller = send(write(0));
@@ -153,6 +156,8 @@
                               return {id == LateId ? "" : sealedAnswer(id, id)};
                             }};
   configure({&upstream});
+  // Later bodies miss the objective of the route and are refused for that.
+  setGrace(900ms);
   // The work is known to be short, so that there seems to be time for more.
   constexpr int earlier = 20;
   for (int n = 0; n < earlier; ++n)
