Gateway: Log the first copy of the store in one line

Cause: a VM that starts wrote a line for each of hundreds of upstreams before it served its first request, and the line of the configuration was dropped for lack of room. Change: one line, upstreams_loaded, tells of them. Later changes have their lines as before.

--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -63,6 +63,8 @@
                        const EntryRemoval &removals) {
   const TimePoint now = bootTimeNow();
   bool hasChanged = false;
+  // Hundreds of lines would delay the first requests of a small VM.
+  IsLoading = !Plans.current();
   for (const StoreItem &it : changes) {
     if (it.Key == platform::ConfigurationKey) {
       didLearnPlan(it, source);
@@ -71,6 +73,10 @@
       hasChanged |= didLearnUpstream(it, *id, removals, now);
     }
   }
+  if (IsLoading)
+    Log.write(
+        EventLog::Priority::Important, "upstreams_loaded",
+        {{"n", fmt::format("{}", Upstreams.upstreams().size())}, {"from", std::string{source}}});
   if (hasChanged)
     refreshServices();
   armRemovalTimer();
@@ -127,6 +133,8 @@
   const UpstreamRecord copy = *record;
   if (!Upstreams.didWrite(*std::move(record), now))
     return false;
+  if (IsLoading)
+    return true;
   Log.write(EventLog::Priority::Important, copy.IsDraining ? "upstream_draining" : "upstream_ready",
             {{"up", copy.Id},
              {"svc", copy.Service},
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -109,6 +109,8 @@
   std::uint64_t LastCall = 0;
   double BudgetShare = 0.05;
   ShareAssignment Shares;
+  /// Whether the first configuration, and the upstreams with it, are just being read.
+  bool IsLoading = false;
   StartPlan Begin;
   StopPlan Stop;
   boost::asio::steady_timer RemovalTimer;
