--- a/Libraries/LibSettings/GatewaySettings.h
+++ b/Libraries/LibSettings/GatewaySettings.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,9 +29,15 @@
   Duration StoreSettleTime = std::chrono::seconds{3};
   /// Time after which a new configuration must be in force.
   Duration ConfigurationDeadline = std::chrono::seconds{2};
+  /// Time after which upstreams of a data centre that is being evacuated must get no new requests.
+  /// Empty if the platform sets none.
+  std::optional<Duration> EvacuationDeadline{};
 
   /// Time within which each VM must know a change of the store.
-  Duration changeDeadline() const { return std::min(DrainTimeout, ConfigurationDeadline); }
+  Duration changeDeadline() const {
+    const Duration deadline = std::min(DrainTimeout, ConfigurationDeadline);
+    return std::min(deadline, EvacuationDeadline.value_or(deadline));
+  }
 };
 
 /// Settings of one gateway daemon. Addresses are `IP:PORT`; an address that isn't served is empty.
--- a/Tests/Platform/TestPlatform.cpp
+++ b/Tests/Platform/TestPlatform.cpp
@@ -190,6 +190,39 @@
             R"({"addresses":["10.0.0.1:80","10.0.0.2:80"],"ttl":"2000ms"})");
 }
 
+// Guards against an order to evacuate that isn't understood, and against other keys, or names that
+// spoil logs and metrics, that are taken for one.
+TEST(WireFormat, ReadsEvacuationKeys) {
+  EXPECT_EQ(platform::evacuatedDataCentreOf("op/evacuate/z-1"), "z-1");
+  EXPECT_EQ(platform::evacuatedDataCentreOf("op/evacuate/eu/1 b"), "eu/1 b");
+  for (const std::string &it :
+       {std::string{"op/evacuate/"}, "op/evacuate/a\nb" + std::string{}, std::string{"op/config"},
+        "op/evacuate/" + std::string(256, 'a'), std::string{"op/evacuated/a"},
+        std::string{"servers/op/evacuate/a"}})
+    EXPECT_FALSE(platform::evacuatedDataCentreOf(it)) << it;
+  EXPECT_TRUE(platform::isEvacuationKey("op/evacuate/"));
+  EXPECT_FALSE(platform::isEvacuationKey("op/evacuate"));
+}
+
+// Guards against a bound on evacuations that is ignored, and against settings without it under
+// which VMs ask the store at other times than before.
+TEST(NodeFile, BoundsEvacuationsIfTheSettingsDo) {
+  const auto boundsWith = [](const std::string &bounds) {
+    return platform::decodeNodeFile("node-name = \"vm-1\"\nbounds = [" + bounds +
+                                    "]\n[platform]\naddress = \"10.200.1.7:8541\"\n");
+  };
+  const auto without = boundsWith(R"("drain-timeout=2s","config-apply=2500ms")");
+  ASSERT_TRUE(without.ok()) << without.status();
+  EXPECT_FALSE(without->Bounds.EvacuationDeadline);
+  EXPECT_EQ(without->Bounds.changeDeadline(), 2s);
+  const auto longer = boundsWith(R"("drain-timeout=2s","evacuation=5000ms")");
+  ASSERT_TRUE(longer.ok());
+  EXPECT_EQ(longer->Bounds.EvacuationDeadline, 5s);
+  EXPECT_EQ(longer->Bounds.changeDeadline(), 2s);
+  EXPECT_EQ(boundsWith(R"("drain-timeout=2s","evacuation=1s")")->Bounds.changeDeadline(), 1s);
+  EXPECT_FALSE(boundsWith(R"("evacuation=soon")").ok());
+}
+
 // Guards against invalid settings that are accepted, and against unknown fields that make the whole
 // file invalid.
 TEST(NodeFile, DecodesSettings) {
