--- a/Libraries/LibDiscovery/LibDiscovery.h
+++ b/Libraries/LibDiscovery/LibDiscovery.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibDiscovery/EvacuatedDataCentres.h>
 #include <LibDiscovery/LeaseRenewal.h>
 #include <LibDiscovery/LeavingUpstreams.h>
 #include <LibDiscovery/ReplicaFreshness.h>
