LibBalance: Refuse queued requests at once when no upstream is left

When the last upstream of a service was removed, queued requests waited until they were late, and attempts without a connection waited for it. In an evacuation nothing will come. setUpstreams now withdraws unsent attempts at removed upstreams, and with an empty list refuses all requests without a running attempt: as not run, or as unknown if an earlier attempt may have run. WaitingRequests::Keep gives the former behaviour.

--- a/Libraries/LibBalance/Attempts.cpp
+++ b/Libraries/LibBalance/Attempts.cpp
@@ -65,13 +65,7 @@
   const bool isUnavailable = !findUpstream(upstream) || Limits.wantsNothing(upstream, now) ||
                              (!it->second.IsWithinLimit && !Limits.take(upstream, now));
   if (isUnavailable || (it->second.IsExtraAttempt && !RetryLimiter.take(now))) {
-    const bool isExtraAttempt = it->second.IsExtraAttempt;
-    removeAttempt(id);
-    std::erase(request.TriedUpstreams, upstream);
-    if (isUnavailable && (!isExtraAttempt || RetryLimiter.hasRoom(now)))
-      requeue(request);
-    else
-      refuseUnlessRunning(request, FailureKind::UpstreamUnreachable, now, out);
+    withdrawAttempt(id, isUnavailable, now, out);
     dispatchQueue(now, out);
     return false;
   }
@@ -166,6 +160,29 @@
   Attempts.erase(it);
 }
 
+void ServiceBalancer::withdrawAttempt(AttemptId id, bool mayPlaceAgain, TimePoint now,
+                                      BalanceCommands &out) {
+  const Attempt attempt = Attempts.at(id);
+  Request &request = Requests.at(attempt.Call);
+  removeAttempt(id);
+  std::erase(request.TriedUpstreams, attempt.Upstream);
+  if (mayPlaceAgain && (!attempt.IsExtraAttempt || RetryLimiter.hasRoom(now)))
+    requeue(request);
+  else
+    refuseUnlessRunning(request, FailureKind::UpstreamUnreachable, now, out);
+}
+
+void ServiceBalancer::withdrawFromRemovedUpstreams(TimePoint now, BalanceCommands &out) {
+  std::vector<AttemptId> unsent;
+  for (const auto &[id, attempt] : Attempts)
+    if (!attempt.IsSent && !Upstreams.contains(attempt.Upstream))
+      unsent.push_back(id);
+  for (const AttemptId id : unsent) {
+    out.push_back(AbortAttempt{id});
+    withdrawAttempt(id, true, now, out);
+  }
+}
+
 bool ServiceBalancer::mayAttemptAgain(const Request &request, TimePoint now) {
   if (static_cast<int>(request.TriedUpstreams.size()) >= request.Spec.MaxAttempts ||
       now + workTime(request) >= request.Spec.Deadline)
--- a/Libraries/LibBalance/BalanceTypes.h
+++ b/Libraries/LibBalance/BalanceTypes.h
@@ -22,6 +22,16 @@
   TimePoint WarmupEndsAt{};
 };
 
+/// What happens to requests that wait while the set of upstreams changes.
+enum class WaitingRequests : std::uint8_t {
+  /// Attempts at removed upstreams that wait for a connection are withdrawn, and their requests are
+  /// placed again. If no upstream is left, all requests without a running attempt are refused.
+  PlaceAgain,
+  /// Attempts go on waiting and are stopped just before they would be sent. If no upstream is left,
+  /// queued requests wait for a new one.
+  Keep,
+};
+
 /// The properties of a request that placement, retries and hedging depend on.
 struct RequestSpec {
   CallId Id;
--- a/Libraries/LibBalance/Placement.cpp
+++ b/Libraries/LibBalance/Placement.cpp
@@ -107,6 +107,8 @@
 void ServiceBalancer::dispatchQueue(TimePoint now, BalanceCommands &out) {
   if (Queue.empty())
     return;
+  if (refusesQueue())
+    return refuseQueue(now, out);
   MeanFailureScore = 0;
   for (const auto &[index, view] : Upstreams)
     MeanFailureScore += view.failureScore(now) / static_cast<double>(Upstreams.size());
@@ -120,6 +122,15 @@
   }
 }
 
+void ServiceBalancer::refuseQueue(TimePoint now, BalanceCommands &out) {
+  for (const CallId id : std::set<CallId>{Queue}) {
+    Request &request = Requests.at(id);
+    const bool mayHaveRun = request.PossibleExecutions > 0;
+    refuseUnlessRunning(request, mayHaveRun ? FailureKind::ConnectionLost : FailureKind::NoUpstream,
+                        now, out);
+  }
+}
+
 bool ServiceBalancer::tryPlace(Request &request, std::size_t requestsAhead, TimePoint now,
                                BalanceCommands &out) {
   if (request.RunningAttempts.empty() && now > latestStart(request)) {
--- a/Libraries/LibBalance/ServiceBalancer.cpp
+++ b/Libraries/LibBalance/ServiceBalancer.cpp
@@ -22,7 +22,8 @@
     : Rng(seed), Limits(seed), RetryLimiter(startedAt) {}
 
 void ServiceBalancer::setUpstreams(std::span<const UpstreamInfo> upstreams, TimePoint now,
-                                   BalanceCommands &out) {
+                                   BalanceCommands &out, WaitingRequests waiting) {
+  Waiting = waiting;
   Limits.expire(now);
   std::set<UpstreamIndex> listed;
   for (const UpstreamInfo &it : upstreams) {
@@ -31,8 +32,10 @@
     if (!isNew)
       view->second.setInfo(it);
   }
-  // Attempts that are running at a removed upstream continue.
+  // Attempts that were sent to a removed upstream continue.
   std::erase_if(Upstreams, [&](const auto &it) { return !listed.contains(it.first); });
+  if (Waiting == WaitingRequests::PlaceAgain)
+    withdrawFromRemovedUpstreams(now, out);
   dispatchQueue(now, out);
 }
 
@@ -155,7 +158,7 @@
   for (const auto &[id, request] : Requests) {
     consider(std::min(request.Spec.Deadline, request.HedgeAt));
   }
-  if (!Queue.empty())
+  if (!Queue.empty() && !refusesQueue())
     consider(nextProbeRound());
   for (const auto &[index, view] : Upstreams)
     if (view.Probe)
--- a/Libraries/LibBalance/ServiceBalancer.h
+++ b/Libraries/LibBalance/ServiceBalancer.h
@@ -71,8 +71,10 @@
 public:
   ServiceBalancer(std::uint64_t seed, TimePoint startedAt);
 
-  /// Replaces the set of upstreams that are eligible for new requests.
-  void setUpstreams(std::span<const UpstreamInfo> upstreams, TimePoint now, BalanceCommands &out);
+  /// Replaces the set of upstreams that are eligible for new requests. `waiting` also applies to
+  /// requests that are queued later, until the next call.
+  void setUpstreams(std::span<const UpstreamInfo> upstreams, TimePoint now, BalanceCommands &out,
+                    WaitingRequests waiting = WaitingRequests::PlaceAgain);
   /// Limits the retries and hedges in each sliding window of length `window` to `allowance` plus
   /// the fraction `ratio` of the requests that arrived in it. The allowance applies only once one
   /// window has passed since the start time that the constructor was given.
@@ -168,6 +170,9 @@
   double excessFailureScore(const UpstreamView &view, TimePoint now) const;
   /// Tries to place all queued requests.
   void dispatchQueue(TimePoint now, BalanceCommands &out);
+  /// Refuses the queued requests that have no running attempt, as there is no upstream for them.
+  void refuseQueue(TimePoint now, BalanceCommands &out);
+  bool refusesQueue() const { return Upstreams.empty() && Waiting == WaitingRequests::PlaceAgain; }
   /// The queued requests, sorted by the order in which they are placed.
   std::vector<CallId> sortedQueue(TimePoint now) const;
   /// Starts an attempt or refuses the request. Returns false when the request remains queued.
@@ -208,6 +213,11 @@
   // Outcomes of attempts and requests.
   UpstreamView *findUpstream(UpstreamIndex index);
   void removeAttempt(AttemptId id);
+  /// Removes an attempt that has not been sent and won't be. Queues its request again, or refuses
+  /// it if `mayPlaceAgain` is false or the retry budget doesn't permit another attempt.
+  void withdrawAttempt(AttemptId id, bool mayPlaceAgain, TimePoint now, BalanceCommands &out);
+  /// Withdraws the attempts at removed upstreams that have not been sent.
+  void withdrawFromRemovedUpstreams(TimePoint now, BalanceCommands &out);
   void requeue(Request &request);
   /// Refuses the request unless another of its attempts is still running.
   void refuseUnlessRunning(Request &request, FailureKind kind, TimePoint now, BalanceCommands &out);
@@ -233,6 +243,7 @@
 
   Random Rng;
   std::map<UpstreamIndex, UpstreamView> Upstreams;
+  WaitingRequests Waiting = WaitingRequests::Keep;
   UpstreamLimits Limits;
   std::map<CallId, Request> Requests;
   std::set<CallId> Queue;
