--- a/Tests/LibFleet/ModelFleet.cpp
+++ b/Tests/LibFleet/ModelFleet.cpp
@@ -76,6 +76,10 @@
   planFaults(FaultsFrom);
   if (Options.HasUpstreams)
     planUpstreams();
+  if (Options.HasLastingEvacuation)
+    at(Begin + ms(500), [this] { writeEvacuation("lasting", true); });
+  if (Options.HasEvacuations)
+    planEvacuations();
   for (TimePoint time = FaultsFrom; time < End; time += CheckInterval)
     at(time, [this] { check(); });
   while (!Events.empty() && Events.top().At < End) {
@@ -102,6 +106,7 @@
   vm.Sync = std::make_unique<StoreSync>(*vm.Fleet, seed);
   vm.List = std::make_unique<UpstreamList>(RemovalBounds{
       .DrainTimeout = Options.DrainTimeout, .StoreSettleTime = Options.StoreSettleTime});
+  vm.Evacuated = std::make_unique<EvacuatedDataCentres>(Duration::zero());
   vm.Reads = {};
   vm.IsCatchingUp = false;
   vm.Deferred.clear();
@@ -307,6 +312,7 @@
 
 void ModelFleet::check() {
   checkUpstreams();
+  checkEvacuations();
   const auto isDue = [&](const Change &it) { return dueTime(it) <= Now; };
   const auto due = std::ranges::find_if(Changes.rbegin(), Changes.rend(), isDue);
   if (due == Changes.rend())
--- a/Tests/LibFleet/ModelFleet.h
+++ b/Tests/LibFleet/ModelFleet.h
@@ -39,6 +39,10 @@
   /// they register again after it. Others leave shortly before the outage, or right when the drain
   /// timeout holds again after it.
   bool HasUpstreams = false;
+  /// Whether the evacuation of a data centre is ordered in the calm start and lasts until the end.
+  bool HasLastingEvacuation = false;
+  /// Whether evacuations of other data centres are ordered and end beside the faults.
+  bool HasEvacuations = false;
   Duration DrainTimeout = std::chrono::seconds{2};
   Duration StoreSettleTime = std::chrono::seconds{3};
 };
@@ -77,6 +81,7 @@
     Duration ClockOffset{};
     std::unique_ptr<FleetReplica> Fleet;
     std::unique_ptr<StoreSync> Sync;
+    std::unique_ptr<EvacuatedDataCentres> Evacuated;
     std::unique_ptr<UpstreamList> List;
     PeerReads Reads;
     bool IsCatchingUp = false;
@@ -95,6 +100,7 @@
     int Excuses = 0;
     TimePoint ExcusedUntil{};
     StoreRevision LastReported = 0;
+    StoreRevision LastReportedEvacuation = 0;
 
     bool isRunning() const { return Fleet != nullptr; }
   };
@@ -161,6 +167,12 @@
   void leave(const std::string &id);
   void checkUpstreams();
 
+  /// What happens to the evacuations.
+  void planEvacuations();
+  void writeEvacuation(const std::string &dataCentre, bool isOrdered);
+  void applyEvacuations(Vm &vm, const ReplicaUpdate &update);
+  void checkEvacuations();
+
   void planFaults(TimePoint from);
   void planFault(TimePoint begin);
   std::vector<Vm *> pickVictims();
@@ -194,6 +206,12 @@
   /// When upstreams that left were removed.
   std::map<std::string, TimePoint> LeftAt;
   std::vector<std::string> Lapsed;
+  struct EvacuationChange {
+    Change Written;
+    bool IsOrdered = false;
+  };
+  /// The latest beginning or end of each evacuation.
+  std::map<std::string, EvacuationChange> Evacuations;
   int UsableSamples = 0;
   int Samples = 0;
   struct Span {
--- a/Tests/LibFleet/ModelFleetUpstreams.cpp
+++ b/Tests/LibFleet/ModelFleetUpstreams.cpp
@@ -60,6 +60,7 @@
 
 void ModelFleet::publish(Vm &vm, const ReplicaUpdate &update) {
   send(vm, update.Datagrams);
+  applyEvacuations(vm, update);
   for (const StoreItem &it : update.Changes) {
     if (!it.Key.starts_with(KeyPrefix))
       continue;
