Gateway: Keep requests away from evacuated data centres

An operator's order to evacuate a data centre had no effect. Upstreams there are now left out of the lists that services work with, right when an order is learnt, and return right when it ends or, after a restore of the store that lacks it, when it isn't written again in time. Waiting requests of the services concerned are placed elsewhere or refused at once; what was sent ends normally. Log lines evacuation_began, evacuation_ended, evacuation_missing and evacuation_unreadable, the state dump and the gauge wigeonlift_evacuated tell. Without such keys nothing changes: queued requests still wait for new upstreams.

--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -27,6 +27,7 @@
 // The rest is for answers, connections and the fleet's state.
 constexpr double BodyShareOfMemory = 0.25;
 constexpr std::size_t BytesPerMb = 1024 * 1024;
+constexpr std::size_t MaxLoggedKeyBytes = 80;
 // For settings without a memory limit.
 constexpr int DefaultMemoryMb = 256;
 
@@ -35,6 +36,17 @@
   return static_cast<std::size_t>(BodyShareOfMemory * mb * static_cast<double>(BytesPerMb));
 }
 
+/// Orders have no leases, so an outage of the store doesn't remove them.
+OrderRemoval orderRemovalOf(const EntryRemoval &removal) {
+  switch (removal.Kind) {
+  case RemovalKind::Final:
+  case RemovalKind::PossibleLeaseExpiry:
+  case RemovalKind::ProbableLeaseExpiry:
+    return OrderRemoval::Removed;
+  }
+  return OrderRemoval::Removed;
+}
+
 } // namespace
 
 Gateway::Gateway(boost::asio::io_context &context, const GatewaySettings &settings, EventLog &log,
@@ -42,6 +54,7 @@
     : Context(context), Settings(settings), Log(log), Requests(log), Seed(seed), Rng(seed),
       Upstreams({.DrainTimeout = settings.Bounds.DrainTimeout,
                  .StoreSettleTime = settings.Bounds.StoreSettleTime}),
+      Evacuated(settings.Bounds.StoreSettleTime + settings.Bounds.ConfigurationDeadline),
       Bodies(bodyLimit(settings)), HeldAnswers(bodyLimit(settings)), Begin(bootTimeNow()),
       RemovalTimer(context), MaintainedAt(bootTimeNow()) {}
 
@@ -69,6 +82,8 @@
       hasChanged = true;
     } else if (const auto id = platform::upstreamIdOf(it.Key)) {
       hasChanged |= didLearnUpstream(it, *id, removals, now);
+    } else if (platform::isEvacuationKey(it.Key)) {
+      hasChanged |= didLearnEvacuation(it, removals, now);
     }
   }
   if (hasChanged)
@@ -77,17 +92,25 @@
 }
 
 void Gateway::armRemovalTimer() {
-  const auto next = Upstreams.nextRemovalDue();
-  if (!next)
+  const auto nextRemoval = Upstreams.nextRemovalDue();
+  const auto nextEnd = Evacuated.nextEndDue();
+  if (!nextRemoval && !nextEnd)
     return;
-  RemovalTimer.expires_after(std::max(Duration::zero(), *next - bootTimeNow()));
+  const TimePoint next =
+      std::min(nextRemoval.value_or(TimePoint::max()), nextEnd.value_or(TimePoint::max()));
+  RemovalTimer.expires_after(std::max(Duration::zero(), next - bootTimeNow()));
   RemovalTimer.async_wait([this](const boost::system::error_code &ec) {
     if (ec)
       return;
-    if (Upstreams.applyDueRemovals(bootTimeNow())) {
+    const bool haveLapsed = Upstreams.applyDueRemovals(bootTimeNow());
+    if (haveLapsed)
       Log.write(EventLog::Priority::Important, "upstreams_lapsed", {});
+    const auto ended = Evacuated.applyDueEnds(bootTimeNow());
+    for (const std::string &it : ended)
+      Log.write(EventLog::Priority::Important, "evacuation_ended",
+                {{"dc", it}, {"why", "not written again after a restore"}});
+    if (haveLapsed || !ended.empty())
       refreshServices();
-    }
     armRemovalTimer();
   });
 }
@@ -135,6 +158,28 @@
   return true;
 }
 
+bool Gateway::didLearnEvacuation(const StoreItem &item, const EntryRemoval &removal,
+                                 TimePoint now) {
+  const auto name = platform::evacuatedDataCentreOf(item.Key);
+  const std::string revision = fmt::format("{}", item.Revision);
+  if (!name) {
+    if (!item.IsRemoved)
+      Log.write(EventLog::Priority::Important, "evacuation_unreadable",
+                {{"key", item.Key.substr(0, MaxLoggedKeyBytes)}, {"rev", revision}});
+    return false;
+  }
+  const bool hasChanged = item.IsRemoved ? Evacuated.didEnd(*name, orderRemovalOf(removal), now)
+                                         : Evacuated.didOrder(*name);
+  const bool isMissing = item.IsRemoved && Evacuated.contains(*name);
+  if (hasChanged || isMissing)
+    Log.write(EventLog::Priority::Important,
+              isMissing        ? "evacuation_missing"
+              : item.IsRemoved ? "evacuation_ended"
+                               : "evacuation_began",
+              {{"dc", std::string{*name}}, {"rev", revision}});
+  return hasChanged;
+}
+
 void Gateway::setSettings(const GatewaySettings &settings) {
   Settings = settings;
   shareBudgets();
@@ -163,10 +208,18 @@
     task->setPlan(it.HealthPath, it.MaxConnections);
   }
   for (const auto &[name, task] : Services)
-    task->setUpstreams(Upstreams.usable(name));
+    refreshUpstreams(*task);
   shareBudgets();
 }
 
+void Gateway::refreshUpstreams(ServiceTask &task) {
+  std::vector<UpstreamRecord> usable = Upstreams.usable(task.name());
+  const auto evacuated = std::erase_if(
+      usable, [&](const UpstreamRecord &it) { return Evacuated.contains(it.DataCentre); });
+  // Requests that wait for a connection must not wait in vain while a data centre is shut down.
+  task.setUpstreams(usable, evacuated > 0 ? WaitingRequests::PlaceAgain : WaitingRequests::Keep);
+}
+
 std::shared_ptr<ServiceTask> Gateway::makeService(const std::string &name) {
   auto task = std::make_shared<ServiceTask>(Context, name, Settings.DataCentre,
                                             Seed ^ std::hash<std::string>{}(name), Requests);
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -79,14 +79,20 @@
   boost::asio::io_context &context() { return Context; }
   const std::map<std::string, std::shared_ptr<ServiceTask>> &services() const { return Services; }
   const UpstreamList &upstreams() const { return Upstreams; }
+  const EvacuatedDataCentres &evacuated() const { return Evacuated; }
 
 private:
   void didLearnPlan(const StoreItem &item, std::string_view source);
   bool didLearnUpstream(const StoreItem &item, std::string_view id, const EntryRemoval &removal,
                         TimePoint now);
+  /// Returns whether the upstreams that may get new requests have changed.
+  bool didLearnEvacuation(const StoreItem &item, const EntryRemoval &removal, TimePoint now);
   void refreshServices();
+  /// Gives the service the upstreams that may get new requests.
+  void refreshUpstreams(ServiceTask &task);
   std::shared_ptr<ServiceTask> makeService(const std::string &name);
-  /// Drops upstreams right when their grace period is over.
+  /// Drops upstreams, and ends evacuations that a restored store lacks, right when their grace
+  /// period is over.
   void armRemovalTimer();
   void shareBudgets();
   void logFigures(const ServiceTask &task, TimePoint now);
@@ -99,6 +105,7 @@
   Random Rng;
   RouteTableStore Plans;
   UpstreamList Upstreams;
+  EvacuatedDataCentres Evacuated;
   std::map<std::string, std::shared_ptr<ServiceTask>> Services;
   std::map<std::string, WeightedRoundRobin, std::less<>> Splits;
   CallerWait CallersWaited;
--- a/Services/Gateway/Ports.cpp
+++ b/Services/Gateway/Ports.cpp
@@ -64,6 +64,8 @@
     text.gauge("wigeonlift_upstreams", {{"service", service}},
                static_cast<double>(task->upstreams()));
   }
+  for (const auto &[dataCentre, endsAt] : gateway.evacuated().all())
+    text.gauge("wigeonlift_evacuated", {{"data_centre", dataCentre}}, 1);
   text.counter("wigeonlift_store_calls_total", {{"kind", "read"}},
                static_cast<double>(store.calls().Reads));
   text.counter("wigeonlift_store_calls_total", {{"kind", "watch"}},
@@ -104,6 +106,11 @@
                                             {"slots", it.Slots},
                                             {"draining", it.IsDraining}});
   state["upstreams"] = std::move(upstreams);
+  boost::json::array evacuated;
+  for (const auto &[dataCentre, endsAt] : gateway.evacuated().all())
+    evacuated.push_back(
+        boost::json::object{{"data_centre", dataCentre}, {"in_store", !endsAt.has_value()}});
+  state["evacuated"] = std::move(evacuated);
   return boost::json::serialize(state);
 }
 
--- a/Services/Gateway/ServiceTask.cpp
+++ b/Services/Gateway/ServiceTask.cpp
@@ -34,8 +34,10 @@
     : Context(context), Name(std::move(name)), DataCentre(std::move(dataCentre)), Log(log),
       Seed(seed), Balancer(seed, bootTimeNow()), Timer(context) {}
 
-void ServiceTask::setUpstreams(const std::vector<UpstreamRecord> &records) {
+void ServiceTask::setUpstreams(const std::vector<UpstreamRecord> &records,
+                               WaitingRequests waiting) {
   const TimePoint now = bootTimeNow();
+  Waiting = waiting;
   std::set<std::string> named;
   Known.clear();
   for (const UpstreamRecord &record : records) {
@@ -100,7 +102,8 @@
 void ServiceTask::useSubset() {
   const TimePoint now = bootTimeNow();
   BalanceCommands out;
-  Balancer.setUpstreams(chooseSubset(Known, Balancer.limits(), Seed, RequestShare, now), now, out);
+  Balancer.setUpstreams(chooseSubset(Known, Balancer.limits(), Seed, RequestShare, now), now, out,
+                        Waiting);
   execute(out);
 }
 
--- a/Services/Gateway/ServiceTask.h
+++ b/Services/Gateway/ServiceTask.h
@@ -48,7 +48,9 @@
               std::uint64_t seed, RequestLog log);
 
   const std::string &name() const { return Name; }
-  void setUpstreams(const std::vector<UpstreamRecord> &records);
+  /// Sets the upstreams that may get new requests. `waiting` says what happens to requests that
+  /// wait for others.
+  void setUpstreams(const std::vector<UpstreamRecord> &records, WaitingRequests waiting);
   void setPlan(const std::string &healthPath, int maxConnections);
   void setRetryBudget(double ratio, double allowance, Duration window);
   void setProbeRate(double probesPerSecond);
@@ -96,6 +98,7 @@
   ServiceBalancer Balancer;
   /// All upstreams of the service; the balancer works with a subset.
   std::vector<UpstreamInfo> Known;
+  WaitingRequests Waiting = WaitingRequests::Keep;
   LeavingUpstreams Leaving;
   /// Upstreams whose last response named a limit that can't be read. Logged once each.
   std::set<UpstreamIndex> UnreadableLimits;
--- a/Tests/Gateway/GatewayFixture.cpp
+++ b/Tests/Gateway/GatewayFixture.cpp
@@ -88,13 +88,23 @@
     items.push_back(
         {.Key = "servers/" + it->id(),
          .Value = fmt::format(
-             R"({{"service":"s","address":"{}","zone":"a","version":"v1","capacity-slots":3,)"
+             R"({{"service":"s","address":"{}","zone":"{}","version":"v1","capacity-slots":3,)"
              R"("state":"ready","warmup-remaining":"0ms","sequence":1,"born":1}})",
-             it->address()),
+             it->address(), it->DataCentre),
          .Revision = items.size() + 1});
   Core.didLearn(items, "test", {});
 }
 
+void GatewayFixture::learnEvacuations(const std::map<std::string, bool> &isOrdered) {
+  std::vector<StoreItem> items;
+  for (const auto &[dataCentre, isWritten] : isOrdered)
+    items.push_back({.Key = std::string{platform::EvacuationKeyPrefix} + dataCentre,
+                     .Value = isWritten ? "{}" : "",
+                     .Revision = 100,
+                     .IsRemoved = !isWritten});
+  Core.didLearn(items, "test", {});
+}
+
 std::shared_ptr<RawCaller> GatewayFixture::connect() {
   auto caller = std::make_shared<RawCaller>(Context, Callers.port());
   caller->receiveAll();
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -8,6 +8,7 @@
 #include <gtest/gtest.h>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -28,6 +29,8 @@
   std::vector<std::string> requests() const;
   int closedConnections() const { return Server.Closed; }
 
+  /// Data centre that the upstream's entry in the store names.
+  std::string DataCentre = "a";
   /// Further fields of all answers to health checks, each with its line end.
   std::string HealthFields;
   /// Announced length and body of all answers to health checks.
@@ -52,6 +55,8 @@
   /// (download) and `/brief/` (safe, its timeout shorter than its objective) of `h.example` in
   /// force, and the upstreams that serve all of them.
   void configure(const std::vector<const PlatformUpstream *> &upstreams);
+  /// Writes (true) or removes (false) orders to evacuate data centres, in one update.
+  void learnEvacuations(const std::map<std::string, bool> &isOrdered);
   std::shared_ptr<RawCaller> connect();
   /// Sends bytes on a connection of its own and waits for the whole answer or the end.
   std::shared_ptr<RawCaller> ask(const std::string &request);
