soak: Evacuate data centres and judge that nothing runs there

A request that an upstream there runs later than 5 s after the acknowledgement, and before the end, breaks the promise; existing excuses apply, and 5 s more if the store was disturbed at the acknowledgement.

--- a/Meta/soak.sh
+++ b/Meta/soak.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Builds the gateway and runs the fault soak with the seeds that are named, each for 20 s: six VMs, twelve of which some fall
-# silent round changes, and planned stops beside callers that have much time.
+# silent round changes, planned stops beside callers that have much time, and evacuations of data centres.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 Meta/install.sh
@@ -10,4 +10,5 @@
   python3 -m soak --seed "$seed" --seconds 20
   python3 -m soak --seed "$seed" --seconds 20 --silence --vms 12
   python3 -m soak --seed "$seed" --seconds 20 --patient
+  python3 -m soak --seed "$seed" --seconds 20 --evacuate
 done
--- a/Meta/soak/__main__.py
+++ b/Meta/soak/__main__.py
@@ -13,7 +13,7 @@
 from .callers import HOST, Caller, exchange_once
 from .fleet import Fleet, Vm
 from . import patient
-from .judge import CONFIG_S, SLACK_S, Judge
+from .judge import CONFIG_S, EVACUATION_S, SLACK_S, Judge
 from .plan import Plan, configuration
 from .relay import Relay
 from .silence import Silence
@@ -39,6 +39,9 @@
         seeds = [f"{self.net}.1", f"{self.net}.2"]
         self.fleet = Fleet([Vm(options.program, folder, f"{self.net}.{n + 1}", ZONES[n % 3], self.store.address_for(n), seeds,
                                self.log) for n in range(options.vms)])
+        if options.evacuate:
+            for vm in self.fleet.vms:
+                vm.bounds = (f"evacuation={EVACUATION_S}s",)
         self.upstreams, self.relays = [], {}
         self.started = 0
         self.began = time.monotonic()
@@ -84,6 +87,8 @@
             faults = () if self.options.calm else (plan.run(until), notices.run(until))
         if self.options.silence:
             faults += (Silence(self, plan, new_random(self.options.seed, "silence")).run(until),)
+        if self.options.evacuate:
+            faults += (Plan.of_evacuations(self, new_random(self.options.seed, "evacuations")).run(until),)
         await asyncio.gather(*faults, self.watch_configuration(until, plan),
                              *(caller.run(loop_until, 0.2) for caller in callers))
         await self.check_recovery()
@@ -144,7 +149,7 @@
     outcomes = {str(key): n for key, n in sorted(run.judge.outcomes.items(), key=str)}
     print(json.dumps({"seed": options.seed, "seconds": options.seconds, "vms": options.vms, "faults": len(plan.log),
                       "requests": len(run.judge.requests), "repeats": len(run.judge.arrivals), "outcomes": outcomes,
-                      "store_calls": run.store.calls, "broken": len(run.judge.found)}), flush=True)
+                      "store_calls": run.store.calls, "evacuations": sum(map(len, run.judge.evacuations.values())), "broken": len(run.judge.found)}), flush=True)
     for promise, what in run.judge.found[:10]:
         print(f"seed {options.seed}: {promise}: {what}", flush=True)
     return not run.judge.found
@@ -161,6 +166,7 @@
     parser.add_argument("--calm", action="store_true", help="without faults")
     parser.add_argument("--silence", action="store_true", help="with VMs that fall silent within a second of changes")
     parser.add_argument("--patient", action="store_true", help="planned stops only, with callers that have much time")
+    parser.add_argument("--evacuate", action="store_true", help="with evacuations of data centres")
     parser.add_argument("--log", help="file for what the processes write")
     options = parser.parse_args()
     # Handlers of open connections end with the loop, which is no news.
--- a/Meta/soak/fleet.py
+++ b/Meta/soak/fleet.py
@@ -21,9 +21,12 @@
         self.process = None
         self.stop_began = self.stopped_by = 0.0
         self.extra = 0
+        # Further bounds of the settings file.
+        self.bounds = ()
 
     def write_settings(self):
         listen = "\n".join(f'{name} = "{self.ip}:{port}"' for name, port in PORTS.items())
+        bounds = "".join(f',"{it}"' for it in self.bounds)
         seeds = ",".join(f'"{seed}:{PORTS["control-plane"]}"' for seed in self.seeds)
         with open(self.settings, "w", encoding="utf-8") as file:
             file.write(f'''node-name = "{self.name}"
@@ -33,7 +36,7 @@
 internal-port-range = [{INTERNAL_PORTS[0]},{INTERNAL_PORTS[1]}]
 seed-nodes = [{seeds}]
 bootstrap = false
-bounds = ["retry-budget-ratio=0.2","budget-window=10s","retry-budget-extra={56 + self.extra}","grace-period={GRACE_S}s","ttl_max=5s","probes-per-s=60"]
+bounds = ["retry-budget-ratio=0.2","budget-window=10s","retry-budget-extra={56 + self.extra}","grace-period={GRACE_S}s","ttl_max=5s","probes-per-s=60"{bounds}]
 [listen-addresses]
 {listen}
 [limits]
--- a/Meta/soak/judge.py
+++ b/Meta/soak/judge.py
@@ -4,9 +4,12 @@
 import time
 
 PROMISES = ("own-answer", "whole-answer", "at-most-once", "not-run-is-true", "unasked", "draining", "configuration",
-            "repeat-budget", "graceful-stop", "recovery", "rate-limit", "stay-away", "leaving")
+            "repeat-budget", "graceful-stop", "recovery", "rate-limit", "stay-away", "leaving", "evacuation")
 DRAIN_S = 2.0
 CONFIG_S = 2.0
+# Time after which an evacuation is in force, and how much longer it may take if the store was disturbed.
+EVACUATION_S = 5.0
+EVACUATION_STRETCH_S = 5.0
 BUDGET_WINDOW_S = 10.0
 BUDGET_RATIO = 0.2
 BUDGET_EXTRA = 56
@@ -47,6 +50,8 @@
         self.limits = collections.defaultdict(list)
         # Times for which an upstream wants nothing from a VM, and when a VM passed on that an upstream leaves.
         self.stay_away = []
+        # Evacuations by data centre: acknowledgement, time from which they are in force, end.
+        self.evacuations = collections.defaultdict(list)
         self.told_leaving = {}
         # Faults by what they concern: ALL, the name of a VM, or that of an upstream whose link is harmed. Each has a begin
         # and an end; promises with a bound are not judged between them for what is concerned.
@@ -105,6 +110,16 @@
     def end_limit(self, upstream):
         self.limits[upstream.name][-1][1] = time.monotonic()
 
+    def begin_evacuation(self, zone, at, is_store_stable):
+        """Returns what `end_evacuation` needs."""
+        bound_s = EVACUATION_S + (0 if is_store_stable else EVACUATION_STRETCH_S)
+        evacuation = [at, at + bound_s, float("inf")]
+        self.evacuations[zone].append(evacuation)
+        return evacuation
+
+    def end_evacuation(self, evacuation):
+        evacuation[2] = time.monotonic()
+
     def is_excused(self, names, begin, end):
         """Like `is_concerned`, but faults of the store excuse nothing."""
         return overlaps([span for it in names for span in (*self.faults[it], *self.restarts[it])], begin, end)
@@ -141,6 +156,10 @@
         vm = known[3]
         if left and now > left + DRAIN_S + SLACK_S and not self.is_concerned((vm, upstream.name), now - SLACK_S, now):
             self.broke("draining", f"{vm} sent {attempt} to {upstream.name} {now - left:.2f} s after it said that it leaves")
+        for at, in_force, end in self.evacuations[upstream.zone]:
+            if in_force + SLACK_S < now < end and not self.is_concerned((vm, upstream.name), now - SLACK_S, now):
+                self.broke("evacuation", f"{vm} sent {attempt} to {upstream.name} {now - at:.2f} s after the evacuation of its "
+                                         "data centre was acknowledged")
 
     def did_answer(self, attempt, status, sealed, expected, is_whole, body):
         self.outcomes[status] += 1
--- a/Meta/soak/plan.py
+++ b/Meta/soak/plan.py
@@ -62,6 +62,14 @@
         plan.faults = (plan.name_limits, plan.name_limits, plan.ask_for_time, plan.leave_upstream)
         return plan
 
+    @classmethod
+    def of_evacuations(cls, soak, rng):
+        """Evacuations of data centres. A plan of its own, so that seeds keep their other faults."""
+        plan = cls(soak, rng)
+        plan.pause_s = (1, 5)
+        plan.faults = (plan.evacuate,)
+        return plan
+
     @property
     def version(self):
         return self.versions[-1]
@@ -194,6 +202,17 @@
         upstream.crash()
         await self.soak.replace(upstream)
 
+    async def evacuate(self):
+        zone = self.rng.choice(sorted({vm.zone for vm in self.soak.fleet.vms}))
+        key = f"op/evacuate/{zone}"
+        if key in self.soak.store.items:
+            return
+        at = self.soak.store.put(key, {})
+        evacuation = self.judge.begin_evacuation(zone, at, self.soak.store.is_stable(at, SETTLE_S))
+        await asyncio.sleep(self.rng.uniform(3, 12))
+        self.judge.end_evacuation(evacuation)
+        self.soak.store.remove(key)
+
     async def crash_upstream(self):
         upstream = self.rng.choice(self.soak.upstreams)
         upstream.crash()
--- a/Meta/soak/planted.py
+++ b/Meta/soak/planted.py
@@ -9,6 +9,7 @@
 
 class Place:
     name = "i-1"
+    zone = "a"
 
 
 def message(target="/look/x", body=b""):
@@ -52,6 +53,10 @@
     it.did_run("x", Place, message())
     yield "draining", it
     it = judge()
+    it.begin_evacuation("a", time.monotonic() - 6, True)
+    it.did_run("x", Place, message())
+    yield "evacuation", it
+    it = judge()
     it.did_break("x", True)
     yield "graceful-stop", it
     # A request that came long before the answer that closed its connection.
