LibBudget: Extract the part of a divided rate that a VM may use

UpstreamLimits kept the shares and tokens of the limits that upstreams name itself. The rate of cold upstreams needs the same, so DividedRate holds them now, with an optional bound on the saved requests per share. ShareAssignment can say that a VM may use no share yet.

--- a/Libraries/LibBudget/LibBudget.h
+++ b/Libraries/LibBudget/LibBudget.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibBudget/DividedRate.h>
 #include <LibBudget/ExtraAttemptBudget.h>
 #include <LibBudget/LeasedShare.h>
 #include <LibBudget/ProbeShare.h>
--- a/Libraries/LibBudget/RateLimit.cpp
+++ b/Libraries/LibBudget/RateLimit.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace wigeonlift {
 
@@ -28,9 +29,14 @@
 } // namespace
 
 void RateLimit::setRate(double callsPerSecond, TimePoint now) {
+  setRate(callsPerSecond, std::numeric_limits<double>::infinity(), now);
+}
+
+void RateLimit::setRate(double callsPerSecond, double maxTokens, TimePoint now) {
   refill(now);
   Rate = std::max(0.0, callsPerSecond);
-  Capacity = Rate > 0 ? std::max(1.0, Rate * BurstSeconds) + Rate * StartDelaySeconds : 0;
+  const double capacity = std::max(1.0, Rate * BurstSeconds) + Rate * StartDelaySeconds;
+  Capacity = Rate > 0 ? std::min(capacity, maxTokens) : 0;
   Tokens = IsRateSet ? std::min(Tokens, Capacity) : Capacity;
   IsRateSet = true;
 }
--- a/Libraries/LibBudget/RateLimit.h
+++ b/Libraries/LibBudget/RateLimit.h
@@ -13,6 +13,8 @@
   /// 100 ms, but at least one, plus the tokens of 10 ms. The first call fills the bucket; later
   /// calls only remove tokens above the new capacity.
   void setRate(double callsPerSecond, TimePoint now);
+  /// The same with a capacity of at most `maxTokens`.
+  void setRate(double callsPerSecond, double maxTokens, TimePoint now);
   /// Adds the tokens for the time since the last refill.
   void refill(TimePoint now);
   /// Takes one token. Returns false if there is none.
--- a/Libraries/LibBudget/ShareAssignment.cpp
+++ b/Libraries/LibBudget/ShareAssignment.cpp
@@ -36,7 +36,15 @@
     : Self(self), OwnDataCentre(std::move(ownDataCentre)), DataCentres(std::move(dataCentres)),
       LocalVms(std::move(localVms)) {}
 
+ShareAssignment ShareAssignment::withoutShares() {
+  ShareAssignment result;
+  result.HoldsNothing = true;
+  return result;
+}
+
 int ShareAssignment::heldShares(std::uint64_t key, int shareCount) const {
+  if (HoldsNothing)
+    return 0;
   if (LocalVms.empty())
     return shareCount;
   const auto dataCentreRank = [](const DataCentre &it, std::uint64_t seed) {
--- a/Libraries/LibBudget/ShareAssignment.h
+++ b/Libraries/LibBudget/ShareAssignment.h
@@ -28,6 +28,8 @@
 
   /// For a VM without others, which holds all shares.
   ShareAssignment() = default;
+  /// For a VM that may not use any share.
+  static ShareAssignment withoutShares();
   /// `localVms` are the VMs of the data centre of this VM, including itself.
   ShareAssignment(Vm self, std::string ownDataCentre, std::vector<DataCentre> dataCentres,
                   std::vector<Vm> localVms);
@@ -44,6 +46,7 @@
   std::string OwnDataCentre;
   std::vector<DataCentre> DataCentres;
   std::vector<Vm> LocalVms;
+  bool HoldsNothing = false;
 };
 
 } // namespace wigeonlift
