--- a/Libraries/LibRoutes/RouteConfiguration.h
+++ b/Libraries/LibRoutes/RouteConfiguration.h
@@ -44,6 +44,8 @@
   std::string HealthPath;
   /// Limit on the connections of all entry VMs to one upstream; 0 when none is set.
   int MaxConnections = 0;
+  /// Requests a second that a cold upstream accepts from all VMs; 0 when none are named.
+  double WarmupRequestsPerSecond = 0;
 };
 
 /// Limits on the size of a request, on the time in which its header must arrive, and on the time
--- a/Libraries/LibSettings/GatewaySettings.h
+++ b/Libraries/LibSettings/GatewaySettings.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,12 @@
   /// Time after which a new configuration must be in force.
   Duration ConfigurationDeadline = std::chrono::seconds{2};
 
+  /// In any second, a cold upstream tolerates the rate that its service names times this factor,
+  /// plus `WarmupTolerance` requests, from all VMs. The rate is limited only if both are set.
+  std::optional<double> WarmupOverage;
+  std::optional<double> WarmupTolerance;
+
+  bool limitsWarmup() const { return WarmupOverage && WarmupTolerance; }
   /// Time within which each VM must know a change of the store.
   Duration changeDeadline() const { return std::min(DrainTimeout, ConfigurationDeadline); }
 };
