LibBalance: Limit the requests that the fleet sends to a cold upstream

A cold upstream crashes at a rate well above the one that its service names. UpstreamLimits now limits it like the limits that upstreams name, with an assignment of its own. A cold upstream that a VM holds shares of gets one request that can still be on time, as it would otherwise be used only when the others are busy.

--- a/Libraries/LibBalance/Attempts.cpp
+++ b/Libraries/LibBalance/Attempts.cpp
@@ -26,6 +26,9 @@
 // time.
 constexpr double MinRemainingWork = 0.15;
 
+// A token of a cold upstream's rate is valid for so long. In the meantime its place is free for the
+// next request, so requests that wait longer for a connection could arrive with later ones.
+constexpr Duration MaxTokenAge = std::chrono::milliseconds{500};
 constexpr Duration ShedRetryAfter = std::chrono::milliseconds{10};
 // The queue hardly changes in a shorter time, so an earlier retry would probably be refused again.
 constexpr Duration MinRetryAfter = std::chrono::milliseconds{100};
@@ -50,6 +53,15 @@
 
 } // namespace
 
+bool ServiceBalancer::takeRoom(Attempt &attempt, TimePoint now) {
+  if (now - attempt.StartedAt > MaxTokenAge) {
+    attempt.Room.OfWarmup = false;
+    if (!Limits.isWarmupKnown(attempt.Upstream, now))
+      return false;
+  }
+  return Limits.take(attempt.Upstream, attempt.Room, now);
+}
+
 bool ServiceBalancer::maySend(AttemptId id, TimePoint now, BalanceCommands &out) {
   const auto it = Attempts.find(id);
   if (it == Attempts.end())
@@ -62,8 +74,7 @@
   // An upstream that was removed, or has said that it wants no more requests, after it was chosen
   // gets none.
   const UpstreamIndex upstream = it->second.Upstream;
-  const bool isUnavailable = !findUpstream(upstream) || Limits.wantsNothing(upstream, now) ||
-                             (!it->second.IsWithinLimit && !Limits.take(upstream, now));
+  const bool isUnavailable = !findUpstream(upstream) || !takeRoom(it->second, now);
   if (isUnavailable || (it->second.IsExtraAttempt && !RetryLimiter.take(now))) {
     const bool isExtraAttempt = it->second.IsExtraAttempt;
     removeAttempt(id);
@@ -76,6 +87,7 @@
     return false;
   }
   it->second.IsSent = true;
+  Counts.SentToCold += Limits.isCold(upstream, now) ? 1 : 0;
   ++request.PossibleExecutions;
   return true;
 }
--- a/Libraries/LibBalance/BalanceTypes.h
+++ b/Libraries/LibBalance/BalanceTypes.h
@@ -18,7 +18,7 @@
   std::uint64_t FleetKey = 0;
   bool IsInLocalDataCentre = false;
   int Slots = 1;
-  /// The upstream is expected to be slow until then because it has just started.
+  /// The upstream is expected to be slow until then because it is cold.
   TimePoint WarmupEndsAt{};
 };
 
--- a/Libraries/LibBalance/Placement.cpp
+++ b/Libraries/LibBalance/Placement.cpp
@@ -201,7 +201,12 @@
   const double failureScore =
       excessFailureScore(view, now) *
       (isNonIdempotent ? NonIdempotentFailureScoreWeight : FailureScoreWeight);
-  Duration cost = fromSeconds(expected * (1 + failureScore));
+  // Otherwise a cold upstream would be used only when all others are busy, and wouldn't be known
+  // when its warm-up ends.
+  const bool isIntroduction = Limits.isColdAndUnused(view.info().Index, now) &&
+                              now + fromSeconds(expected) <= request.Spec.Objective;
+  const double costFactor = isIntroduction ? 1 / UpstreamView::WarmupSlowness : 1;
+  Duration cost = fromSeconds(costFactor * expected * (1 + failureScore));
   if (!view.info().IsInLocalDataCentre)
     cost += RemoteCost + fromSeconds(toSeconds(RemoteCostPerKib) *
                                      WorkTimes.responseBytes(request.Spec.Kind) / BytesPerKib);
@@ -238,7 +243,7 @@
   attempt.IsHedge = request.WantsHedge;
   attempt.IsExtraAttempt = !request.TriedUpstreams.empty();
   const auto rateLimit = Limits.requestsPerSecond(attempt.Upstream);
-  attempt.IsWithinLimit = rateLimit && Limits.take(attempt.Upstream, now);
+  Limits.take(attempt.Upstream, attempt.Room, now);
   attempt.Choice = {.Upstream = attempt.Upstream,
                     .OutstandingRequests = view.outstandingRequests(),
                     .Slots = view.slots(),
--- a/Libraries/LibBalance/Probing.cpp
+++ b/Libraries/LibBalance/Probing.cpp
@@ -34,8 +34,8 @@
   };
   std::vector<ProbeTarget> targets;
   for (auto &[index, view] : Upstreams) {
-    if (view.Probe || view.isFresh(now) || !isEligible(view, request, now) ||
-        !Limits.mayProbe(index, now))
+    const bool isKnown = view.isFresh(now) && Limits.isWarmupKnown(index, now);
+    if (view.Probe || isKnown || !isEligible(view, request, now) || !Limits.mayProbe(index, now))
       continue;
     // The jitter keeps VMs with the same information from all probing and then choosing the same
     // upstreams.
@@ -50,6 +50,12 @@
                        &view});
   }
   std::ranges::sort(targets, {}, &ProbeTarget::Cost);
+  // The slowness of an upstream that has just become cold isn't known, so its cost means little.
+  const auto unused = std::ranges::find_if(targets, [&](const ProbeTarget &it) {
+    return Limits.isColdAndUnused(it.View->info().Index, now);
+  });
+  if (unused != targets.end())
+    std::rotate(targets.begin(), unused, unused + 1);
   // Limits a round to a fraction of the upstreams. In a small service, a few such rounds already
   // cover all upstreams.
   const int maxProbes = std::clamp(static_cast<int>(Upstreams.size()) / UpstreamsPerProbe,
--- a/Libraries/LibBalance/ServiceBalancer.cpp
+++ b/Libraries/LibBalance/ServiceBalancer.cpp
@@ -30,6 +30,7 @@
     const auto [view, isNew] = Upstreams.try_emplace(it.Index, it);
     if (!isNew)
       view->second.setInfo(it);
+    updateWarmupEnd(it.Index);
   }
   // Attempts that are running at a removed upstream continue.
   std::erase_if(Upstreams, [&](const auto &it) { return !listed.contains(it.first); });
@@ -111,10 +112,35 @@
   Limits.setAssignment(assignment, now);
 }
 
+void ServiceBalancer::setWarmup(double requestsPerSecond, const WarmupBounds &bounds,
+                                TimePoint now) {
+  Limits.setWarmup(requestsPerSecond, bounds, now);
+}
+
+void ServiceBalancer::setWarmupAssignment(const ShareAssignment &assignment, TimePoint now) {
+  Limits.setWarmupAssignment(assignment, now);
+}
+
+void ServiceBalancer::warmupReported(UpstreamIndex upstream, std::uint64_t fleetKey,
+                                     Duration remaining, TimePoint now) {
+  Limits.didReportWarmup(upstream, fleetKey, remaining, now);
+  updateWarmupEnd(upstream);
+}
+
+void ServiceBalancer::updateWarmupEnd(UpstreamIndex index) {
+  const auto end = Limits.warmupEndsAt(index);
+  if (UpstreamView *upstream = findUpstream(index); upstream && end)
+    upstream->setWarmupEndsAt(*end);
+}
+
 bool ServiceBalancer::noticeReceived(UpstreamIndex upstream, std::uint64_t fleetKey,
                                      const UpstreamNotice &notice, TimePoint now) {
   if (notice.RetryAfter)
     Limits.didAskToStayAway(upstream, *notice.RetryAfter, now);
+  if (notice.WarmupRemaining) {
+    Limits.didReportWarmup(upstream, fleetKey, *notice.WarmupRemaining, now);
+    updateWarmupEnd(upstream);
+  }
   return Limits.didReport(upstream, fleetKey, notice.RateLimit, now);
 }
 
--- a/Libraries/LibBalance/ServiceBalancer.h
+++ b/Libraries/LibBalance/ServiceBalancer.h
@@ -39,6 +39,8 @@
   std::uint64_t SentToOtherDataCentre = 0;
   /// Attempts placed on an upstream that names a rate limit.
   std::uint64_t SentToLimited = 0;
+  /// Requests sent to a cold upstream whose rate is limited.
+  std::uint64_t SentToCold = 0;
 };
 
 /// The state on which the choice of an upstream for an attempt was based, for logs.
@@ -99,6 +101,15 @@
   /// Sets which parts of the rate limits of upstreams this VM may use.
   void setShareAssignment(const ShareAssignment &assignment, TimePoint now);
 
+  /// Limits the requests that the fleet sends to each cold upstream; a rate of 0 ends that.
+  void setWarmup(double requestsPerSecond, const WarmupBounds &bounds, TimePoint now);
+  /// Sets which parts of these rates this VM may use.
+  void setWarmupAssignment(const ShareAssignment &assignment, TimePoint now);
+  /// The entry of an upstream was written and says that the upstream is cold for so long. Ignored
+  /// where requests to cold upstreams aren't limited.
+  void warmupReported(UpstreamIndex upstream, std::uint64_t fleetKey, Duration remaining,
+                      TimePoint now);
+
   /// Any response of an upstream arrived. Called before the event that the response belongs to.
   /// `fleetKey` identifies the upstream in the same way on all VMs. Returns whether the rate limit
   /// of the upstream changed.
@@ -149,8 +160,7 @@
     bool IsHedge = false;
     /// A retry or a hedge.
     bool IsExtraAttempt = false;
-    /// The rate limit of the upstream has room for this attempt.
-    bool IsWithinLimit = false;
+    TakenRoom Room;
     ChoiceInfo Choice;
   };
   struct Candidate {
@@ -207,6 +217,10 @@
 
   // Outcomes of attempts and requests.
   UpstreamView *findUpstream(UpstreamIndex index);
+  /// Takes over what is known about the warm-up of an upstream.
+  void updateWarmupEnd(UpstreamIndex index);
+  /// Takes the room that an attempt needs at its upstream when it is sent.
+  bool takeRoom(Attempt &attempt, TimePoint now);
   void removeAttempt(AttemptId id);
   void requeue(Request &request);
   /// Refuses the request unless another of its attempts is still running.
--- a/Libraries/LibBalance/UpstreamSubset.cpp
+++ b/Libraries/LibBalance/UpstreamSubset.cpp
@@ -63,9 +63,10 @@
   for (const UpstreamInfo &it : upstreams) {
     if (limits.isWithheld(it.Index, now))
       continue;
-    const bool isHeld = limits.requestsPerSecond(it.Index)
-                            ? limits.heldShares(it.Index) > 0
-                            : limits.size() > 0 && limits.wouldHoldShares(it.FleetKey);
+    const bool hasKnownLimit =
+        limits.requestsPerSecond(it.Index).has_value() || limits.isCold(it.Index, now);
+    const bool isHeld = hasKnownLimit ? limits.heldShares(it.Index, now) > 0
+                                      : limits.size() > 0 && limits.wouldHoldShares(it.FleetKey);
     (isHeld ? held : others).push_back(it);
   }
   // The balancer refuses requests with a better reason than that there is no upstream.
--- a/Libraries/LibBalance/UpstreamSubset.h
+++ b/Libraries/LibBalance/UpstreamSubset.h
@@ -21,8 +21,8 @@
 std::vector<UpstreamInfo> chooseSubset(std::span<const UpstreamInfo> upstreams, std::uint64_t vmKey,
                                        double requestShare);
 
-/// The same for a service of which some upstreams name rate limits. The subset contains all
-/// upstreams that this VM holds shares of, since few other VMs send requests there, or probably
+/// The same for a service of which some upstreams name rate limits or are cold. The subset contains
+/// all upstreams that this VM holds shares of, since few other VMs send requests there, or probably
 /// does if their limits aren't known to it. The rest is chosen from the others without those whose
 /// limits leave nothing to this VM.
 std::vector<UpstreamInfo> chooseSubset(std::span<const UpstreamInfo> upstreams,
--- a/Libraries/LibBalance/UpstreamView.cpp
+++ b/Libraries/LibBalance/UpstreamView.cpp
@@ -14,7 +14,6 @@
 constexpr double SlownessDecaySeconds = 0.3;
 // Upstreams slow down when a larger fraction of their slots is in use.
 constexpr double SoftLimitFraction = 0.8;
-constexpr double WarmupSlowness = 2.0;
 constexpr double FailureHalfLifeSeconds = 3.0;
 constexpr double SuccessScoreFactor = 0.6;
 constexpr double MaxFailureScore = 6;
--- a/Libraries/LibBalance/UpstreamView.h
+++ b/Libraries/LibBalance/UpstreamView.h
@@ -13,6 +13,7 @@
   explicit UpstreamView(const UpstreamInfo &info) : Info(info) {}
 
   void setInfo(const UpstreamInfo &info) { Info = info; }
+  void setWarmupEndsAt(TimePoint end) { Info.WarmupEndsAt = end; }
   const UpstreamInfo &info() const { return Info; }
 
   /// Stores a load report. It includes all requests that this VM sent before `queriedAt`.
@@ -35,6 +36,8 @@
   int slots() const { return HasReport && Report.Slots > 0 ? Report.Slots : Info.Slots; }
   /// Factor by which work takes longer while more slots than the soft limit are in use.
   static constexpr double OverSoftLimitFactor = 1.7;
+  /// Factor by which work takes longer on a cold upstream.
+  static constexpr double WarmupSlowness = 2.0;
   /// Number of slots that can be in use before the upstream slows down.
   int softSlotLimit() const;
   /// Number of slots with which the upstream does the most work per second. The slots above the
--- a/Tests/LibBalance/TestUpstreamSubset.cpp
+++ b/Tests/LibBalance/TestUpstreamSubset.cpp
@@ -110,7 +110,7 @@
   const auto indices = indicesOf(chosen);
   std::size_t held = 0;
   for (const UpstreamInfo &it : upstreams) {
-    if (limits.heldShares(it.Index) == 0)
+    if (limits.heldShares(it.Index, now) == 0)
       EXPECT_FALSE(isLimited(it) && indices.contains(it.Index));
     else
       held += indices.contains(it.Index) ? 1 : 0;
