Gateway: Keep the rate of cold upstreams beside partitions and restarts

The retention of named limits lets silent VMs expire after 10 s, so a partition of 12 s would double the rate. ShareHolders keeps them for 60 s in which this VM hears others, and gives a VM no shares until it has heard others for 3 s. Gateway passes the rate, the assignment and what entries and health answers say of the warm-up to the balancer; entries that only rewrite the remaining time don't rebuild the subset.

--- a/Libraries/LibFleet/FleetMembership.cpp
+++ b/Libraries/LibFleet/FleetMembership.cpp
@@ -48,7 +48,7 @@
 FleetMembership::FleetMembership(FleetVm self, std::vector<VmAddress> seeds, std::uint64_t rngSeed,
                                  TimePoint startedAt)
     : Self(std::move(self)), Seeds(std::move(seeds)), Rng(rngSeed), StartedAt(startedAt),
-      ReceivedAt(startedAt) {
+      ReceivedAt(startedAt), WarmupHolders(startedAt) {
   std::erase(Seeds, Self.Ip);
   // VMs that start together turn to different seeds.
   std::ranges::shuffle(Seeds, Rng.engine());
@@ -124,6 +124,7 @@
   ++TickCount;
   ++Self.HeartbeatCount;
   Clocks.expire(now);
+  WarmupHolders.expire(now);
   std::erase_if(Peers, [&](const auto &it) { return now - it.second.HeardAt > ForgetAfter; });
   std::vector<FleetDatagram> datagrams;
   std::set<VmAddress> receivers;
@@ -157,6 +158,8 @@
 std::vector<FleetDatagram> FleetMembership::didReceive(const FleetMessage &message, TimePoint now) {
   ReceivedAt = now;
   const VmAddress sender = message.Sender.Ip;
+  if (sender != Self.Ip)
+    WarmupHolders.didReceive(now);
   const bool isNew = !Peers.contains(sender);
   merge(message.Sender, now);
   if (const auto it = Peers.find(sender); it != Peers.end()) {
@@ -260,13 +263,14 @@
   }
   const auto [it, isNew] = Peers.try_emplace(vm.Ip, Peer{.Vm = vm, .HeardAt = now});
   if (isNew)
-    return;
+    return WarmupHolders.didHear(vm, now);
   FleetVm &known = it->second.Vm;
   if (std::pair{vm.Incarnation, vm.HeartbeatCount} <=
       std::pair{known.Incarnation, known.HeartbeatCount})
     return;
   known = vm;
   it->second.HeardAt = now;
+  WarmupHolders.didHear(vm, now);
 }
 
 std::vector<const FleetMembership::Peer *>
--- a/Libraries/LibFleet/FleetMembership.h
+++ b/Libraries/LibFleet/FleetMembership.h
@@ -2,6 +2,7 @@
 
 #include <LibBudget/LibBudget.h>
 #include <LibFleet/FleetMessage.h>
+#include <LibFleet/ShareHolders.h>
 
 #include <algorithm>
 #include <cstddef>
@@ -36,6 +37,15 @@
   Duration SilentFor{};
 };
 
+/// How long VMs that are no longer heard of keep their shares of a rate.
+enum class ShareRetention : std::uint8_t {
+  /// For limits that don't hold for VMs that are partitioned: 10 s.
+  NamedLimits,
+  /// For limits that hold for all VMs: 60 s, in which this VM receives messages. This VM holds no
+  /// shares before it knows the others.
+  WarmupRates,
+};
+
 /// Which VMs a change of the store is sent to. VMs that are known to have it are left out.
 enum class PropagationScope : std::uint8_t {
   LocalVmsAndRemoteReaders, ///< If the change comes from the store.
@@ -134,9 +144,9 @@
   /// VM may use, in proportion to its weight. VMs that are no longer heard of keep their shares for
   /// a while, since they may be running but unreachable.
   double budgetShare(TimePoint now) const;
-  /// Which VM holds which shares of the rate limits of upstreams. VMs that are no longer heard of
+  /// Which VM holds which shares of rates that the fleet divides. VMs that are no longer heard of
   /// keep theirs for a while, since they may be running but unreachable.
-  ShareAssignment shareAssignment(TimePoint now) const;
+  ShareAssignment shareAssignment(ShareRetention retention, TimePoint now) const;
   /// Addresses of ready VMs for a caller in a data centre. VMs are chosen at random, in proportion
   /// to their weights. VMs of other data centres are included only if fewer than two VMs of that
   /// data centre are ready.
@@ -201,6 +211,7 @@
   TimePoint ReceivedAt;
   std::map<VmAddress, Peer> Peers;
   PeerClocks Clocks;
+  ShareHolders WarmupHolders;
   /// When the store last answered a call, as far as known.
   std::optional<TimePoint> StoreReachedAt;
   std::optional<TimePoint> ReplicaConfirmedAt;
--- a/Libraries/LibFleet/FleetMembershipRoles.cpp
+++ b/Libraries/LibFleet/FleetMembershipRoles.cpp
@@ -177,7 +177,9 @@
   return Self.Weight / weight;
 }
 
-ShareAssignment FleetMembership::shareAssignment(TimePoint now) const {
+ShareAssignment FleetMembership::shareAssignment(ShareRetention retention, TimePoint now) const {
+  if (retention == ShareRetention::WarmupRates)
+    return WarmupHolders.assignment(Self, !Seeds.empty(), now);
   const ShareAssignment::Vm self{.Address = Self.Ip, .Weight = static_cast<double>(Self.Weight)};
   std::vector<ShareAssignment::Vm> localVms{self};
   for (const auto &[ip, peer] : Peers)
--- a/Libraries/LibFleet/LibFleet.h
+++ b/Libraries/LibFleet/LibFleet.h
@@ -7,5 +7,6 @@
 #include <LibFleet/FleetReplica.h>
 #include <LibFleet/PeerClocks.h>
 #include <LibFleet/PeerReads.h>
+#include <LibFleet/ShareHolders.h>
 #include <LibFleet/StoreSync.h>
 #include <LibFleet/VmAddress.h>
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -63,16 +63,20 @@
                        const EntryRemoval &removals) {
   const TimePoint now = bootTimeNow();
   bool hasChanged = false;
+  bool hasChangedWarmup = false;
   for (const StoreItem &it : changes) {
     if (it.Key == platform::ConfigurationKey) {
       didLearnPlan(it, source);
       hasChanged = true;
     } else if (const auto id = platform::upstreamIdOf(it.Key)) {
-      hasChanged |= didLearnUpstream(it, *id, removals, now);
+      hasChanged |= didLearnUpstream(it, *id, removals, now, hasChangedWarmup);
     }
   }
   if (hasChanged)
     refreshServices();
+  else if (hasChangedWarmup)
+    for (const auto &[name, task] : Services)
+      task->useSubset();
   armRemovalTimer();
 }
 
@@ -114,7 +118,7 @@
 }
 
 bool Gateway::didLearnUpstream(const StoreItem &item, std::string_view id,
-                               const EntryRemoval &removal, TimePoint now) {
+                               const EntryRemoval &removal, TimePoint now, bool &hasChangedWarmup) {
   auto record = item.IsRemoved ? std::nullopt : platform::decodeUpstreamRecord(id, item.Value);
   if (!record) {
     if (!Upstreams.didRemove(id, removal, now))
@@ -125,6 +129,10 @@
     return true;
   }
   const UpstreamRecord copy = *record;
+  // The list of upstreams doesn't report changes of the warm-up. Entries of earlier processes and
+  // of unknown upstreams are ignored here.
+  if (const auto task = service(copy.Service))
+    hasChangedWarmup |= task->didWriteWarmup(copy);
   if (!Upstreams.didWrite(*std::move(record), now))
     return false;
   Log.write(EventLog::Priority::Important, copy.IsDraining ? "upstream_draining" : "upstream_ready",
@@ -137,6 +145,7 @@
 
 void Gateway::setSettings(const GatewaySettings &settings) {
   Settings = settings;
+  limitWarmups();
   shareBudgets();
 }
 
@@ -153,6 +162,24 @@
     task->setShareAssignment(Shares);
 }
 
+void Gateway::setWarmupAssignment(ShareAssignment assignment) {
+  if (assignment == WarmupShares)
+    return;
+  WarmupShares = std::move(assignment);
+  for (const auto &[name, task] : Services)
+    task->setWarmupAssignment(WarmupShares);
+}
+
+void Gateway::limitWarmups() {
+  if (!Plans.current())
+    return;
+  const FleetBounds &bounds = Settings.Bounds;
+  for (const ServiceConfiguration &it : Plans.current()->configuration().Services)
+    Services.at(it.Name)->setWarmup(bounds.limitsWarmup() ? it.WarmupRequestsPerSecond : 0,
+                                    {.Overage = bounds.WarmupOverage.value_or(1),
+                                     .Tolerance = bounds.WarmupTolerance.value_or(0)});
+}
+
 void Gateway::refreshServices() {
   if (!Plans.current())
     return;
@@ -162,6 +189,7 @@
       task = makeService(it.Name);
     task->setPlan(it.HealthPath, it.MaxConnections);
   }
+  limitWarmups();
   for (const auto &[name, task] : Services)
     task->setUpstreams(Upstreams.usable(name));
   shareBudgets();
@@ -171,6 +199,7 @@
   auto task = std::make_shared<ServiceTask>(Context, name, Settings.DataCentre,
                                             Seed ^ std::hash<std::string>{}(name), Requests);
   task->setShareAssignment(Shares);
+  task->setWarmupAssignment(WarmupShares);
   task->setLatestDeadline(Stop.answersDue());
   return task;
 }
@@ -223,6 +252,8 @@
              {"far", number(counts.SentToOtherDataCentre)},
              {"to_limited", number(counts.SentToLimited)},
              {"limited", number(task.balancer().limits().size())},
+             {"to_cold", number(counts.SentToCold)},
+             {"cold", number(task.balancer().limits().coldUpstreams(now))},
              {"queued", number(task.balancer().queuedRequests())},
              {"work_ms", fmt::format("{:.1f}", toSeconds(task.balancer().meanWorkTime()) * 1e3)},
              {"slow", fmt::format("{:.2f}", task.balancer().typicalSlowness())},
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -50,6 +50,8 @@
   void setBudgetShare(double share);
   /// Sets which shares of the rate limits of upstreams this VM holds.
   void setShareAssignment(ShareAssignment assignment);
+  /// Sets which shares of the rates of cold upstreams this VM holds.
+  void setWarmupAssignment(ShareAssignment assignment);
   /// Begins a graceful stop. Requests that wait anywhere in this process are answered in its time.
   void beginStop(TimePoint now);
   /// Notices pauses of the process, drops what has expired and closes idle connections.
@@ -82,13 +84,17 @@
 
 private:
   void didLearnPlan(const StoreItem &item, std::string_view source);
+  /// Returns whether the upstreams of a service changed. `hasChangedWarmup` is set when one became
+  /// cold or warm.
   bool didLearnUpstream(const StoreItem &item, std::string_view id, const EntryRemoval &removal,
-                        TimePoint now);
+                        TimePoint now, bool &hasChangedWarmup);
   void refreshServices();
   std::shared_ptr<ServiceTask> makeService(const std::string &name);
   /// Drops upstreams right when their grace period is over.
   void armRemovalTimer();
   void shareBudgets();
+  /// Limits the requests to cold upstreams as the configuration and the settings say.
+  void limitWarmups();
   void logFigures(const ServiceTask &task, TimePoint now);
 
   boost::asio::io_context &Context;
@@ -109,6 +115,7 @@
   std::uint64_t LastCall = 0;
   double BudgetShare = 0.05;
   ShareAssignment Shares;
+  ShareAssignment WarmupShares = ShareAssignment::withoutShares();
   StartPlan Begin;
   StopPlan Stop;
   boost::asio::steady_timer RemovalTimer;
--- a/Services/Gateway/Ports.cpp
+++ b/Services/Gateway/Ports.cpp
@@ -56,7 +56,12 @@
        [](const ServiceTask &it) { return it.balancer().counts().Refusals; });
   each("wigeonlift_sent_to_slow_total",
        [](const ServiceTask &it) { return it.balancer().counts().SentToSlow; });
+  each("wigeonlift_sent_to_cold_total",
+       [](const ServiceTask &it) { return it.balancer().counts().SentToCold; });
+  const TimePoint now = bootTimeNow();
   for (const auto &[service, task] : gateway.services()) {
+    text.gauge("wigeonlift_cold_upstreams", {{"service", service}},
+               static_cast<double>(task->balancer().limits().coldUpstreams(now)));
     text.gauge("wigeonlift_queued", {{"service", service}},
                static_cast<double>(task->balancer().queuedRequests()));
     text.gauge("wigeonlift_running", {{"service", service}},
@@ -71,7 +76,6 @@
   text.counter("wigeonlift_store_call_failures_total", {},
                static_cast<double>(store.calls().Failed));
   text.gauge("wigeonlift_store_revision", {}, static_cast<double>(fleet.replica().revision()));
-  const TimePoint now = bootTimeNow();
   text.gauge("wigeonlift_replica_age_seconds", {}, toSeconds(fleet.fleet().freshness().age(now)));
   text.counter("wigeonlift_replica_old_total", {}, static_cast<double>(fleet.oldReplicas()));
   text.gauge("wigeonlift_reads_store", {}, fleet.members().isReader(now) ? 1 : 0);
--- a/Services/Gateway/RequestLog.cpp
+++ b/Services/Gateway/RequestLog.cpp
@@ -110,6 +110,16 @@
             {{"svc", std::string{service}}, {"up", std::string{upstream}}, {"ms", ms(duration)}});
 }
 
+void RequestLog::didChangeWarmup(std::string_view service, std::string_view upstream,
+                                 Duration remaining, std::string_view source) {
+  Log.write(EventLog::Priority::Important,
+            remaining > Duration::zero() ? "upstream_cold" : "upstream_warm",
+            {{"svc", std::string{service}},
+             {"up", std::string{upstream}},
+             {"remaining_ms", ms(remaining)},
+             {"from", std::string{source}}});
+}
+
 void RequestLog::didAnnounceLeaving(std::string_view service, std::string_view upstream) {
   Log.write(EventLog::Priority::Important, "upstream_leaving",
             {{"svc", std::string{service}}, {"up", std::string{upstream}}});
--- a/Services/Gateway/RequestLog.h
+++ b/Services/Gateway/RequestLog.h
@@ -27,6 +27,9 @@
                           const RateLimitReport &report);
   /// An upstream wants nothing from this VM for so long.
   void didAskToStayAway(std::string_view service, std::string_view upstream, Duration duration);
+  /// An upstream has become cold for so long, or warm if `remaining` is zero.
+  void didChangeWarmup(std::string_view service, std::string_view upstream, Duration remaining,
+                       std::string_view source);
   /// An upstream has said in a response that it is leaving.
   void didAnnounceLeaving(std::string_view service, std::string_view upstream);
 
--- a/Services/Gateway/ServiceTask.cpp
+++ b/Services/Gateway/ServiceTask.cpp
@@ -45,6 +45,7 @@
     named.insert(record.Id);
     auto &known = Upstreams[record.Id];
     // Nothing that was learnt about a predecessor holds for a new incarnation.
+    const bool isNew = !known || !known->Record.isSameIncarnation(record);
     if (!known || !known->Record.isSameIncarnation(record)) {
       if (known)
         known->Pool->retire();
@@ -58,6 +59,10 @@
       ByIndex[known->Index] = known;
     }
     known->Record = record;
+    if (isNew && record.Warmup > Duration::zero()) {
+      Balancer.warmupReported(known->Index, known->FleetKey, record.Warmup, now);
+      logWarmup(*known, "store", now);
+    }
     if (Leaving.contains(known->FleetKey))
       continue;
     Known.push_back({.Index = known->Index,
@@ -78,6 +83,7 @@
     if (hasLeft) {
       Balancer.upstreamLeft(it.first);
       UnreadableLimits.erase(it.first);
+      LoggedAsCold.erase(it.first);
     }
     return hasLeft;
   });
@@ -97,6 +103,60 @@
     useSubset();
 }
 
+void ServiceTask::setWarmupAssignment(const ShareAssignment &assignment) {
+  const TimePoint now = bootTimeNow();
+  Balancer.setWarmupAssignment(assignment, now);
+  if (Balancer.limits().coldUpstreams(now) > 0)
+    useSubset();
+}
+
+void ServiceTask::setWarmup(double requestsPerSecond, const WarmupBounds &bounds) {
+  const TimePoint now = bootTimeNow();
+  const bool wasLimited = Balancer.limits().limitsWarmup();
+  Balancer.setWarmup(requestsPerSecond, bounds, now);
+  const bool isLimited = Balancer.limits().limitsWarmup();
+  if (wasLimited == isLimited)
+    return;
+  // What entries said while the requests weren't limited.
+  for (const auto &[index, known] : ByIndex) {
+    if (now < known->WarmupEndsAt)
+      Balancer.warmupReported(index, known->FleetKey, known->WarmupEndsAt - now, now);
+    logWarmup(*known, "configuration", now);
+  }
+  useSubset();
+}
+
+bool ServiceTask::didWriteWarmup(const UpstreamRecord &record) {
+  const auto it = Upstreams.find(record.Id);
+  if (it == Upstreams.end() || !it->second->Record.isSameIncarnation(record))
+    return false;
+  KnownUpstream &known = *it->second;
+  const Duration previous = std::exchange(known.Record.Warmup, record.Warmup);
+  // A warm upstream writes the same again and again. If it has said since that it is cold, that is
+  // the later statement.
+  if (record.Warmup == Duration::zero() && previous == Duration::zero())
+    return false;
+  const TimePoint now = bootTimeNow();
+  if (Balancer.limits().limitsWarmup())
+    known.WarmupEndsAt = now + record.Warmup;
+  Balancer.warmupReported(known.Index, known.FleetKey, record.Warmup, now);
+  return logWarmup(known, "store", now);
+}
+
+bool ServiceTask::logWarmup(const KnownUpstream &upstream, std::string_view source, TimePoint now) {
+  const UpstreamLimits &limits = Balancer.limits();
+  const bool isCold = limits.isCold(upstream.Index, now);
+  if (isCold == LoggedAsCold.contains(upstream.Index))
+    return false;
+  if (isCold)
+    LoggedAsCold.insert(upstream.Index);
+  else
+    LoggedAsCold.erase(upstream.Index);
+  const Duration remaining = isCold ? *limits.warmupEndsAt(upstream.Index) - now : Duration::zero();
+  Log.didChangeWarmup(Name, upstream.Record.Id, remaining, source);
+  return true;
+}
+
 void ServiceTask::useSubset() {
   const TimePoint now = bootTimeNow();
   BalanceCommands out;
@@ -152,6 +212,8 @@
 void ServiceTask::maintain(TimePoint now) {
   for (const auto &[id, known] : Upstreams)
     known->Pool->maintain(now, 0);
+  for (const UpstreamIndex it : std::set<UpstreamIndex>{LoggedAsCold})
+    logWarmup(*ByIndex.at(it), "time", now);
   // It may be time to return to an upstream, or to ask again whether a limit is in force.
   if (!Balancer.limits().isEmpty())
     useSubset();
@@ -192,11 +254,19 @@
 }
 
 void ServiceTask::didReadHead(const KnownUpstream &upstream, const HttpResponseHead &head) {
+  didNotice(upstream, platform::parseUpstreamNotice(head));
+}
+
+void ServiceTask::didReadHealthHead(const KnownUpstream &upstream, const HttpResponseHead &head,
+                                    TimePoint askedAt) {
+  didNotice(upstream, platform::parseHealthNotice(head, askedAt));
+}
+
+void ServiceTask::didNotice(const KnownUpstream &upstream, const UpstreamNotice &notice) {
   // An answer may arrive when the upstream has left already.
   if (!ByIndex.contains(upstream.Index))
     return;
   const TimePoint now = bootTimeNow();
-  const UpstreamNotice notice = platform::parseUpstreamNotice(head);
   const bool hasChanged = Balancer.noticeReceived(upstream.Index, upstream.FleetKey, notice, now);
   const bool isUnreadable = notice.RateLimit.Kind == RateLimitReport::Content::Unusable;
   const bool isNews = isUnreadable ? UnreadableLimits.insert(upstream.Index).second
@@ -210,7 +280,8 @@
     Log.didAnnounceLeaving(Name, upstream.Record.Id);
     std::erase_if(Known, [&](const UpstreamInfo &it) { return it.Index == upstream.Index; });
   }
-  if (hasChanged || notice.RetryAfter || hasLeft)
+  const bool hasChangedWarmup = logWarmup(upstream, "health answer", now);
+  if (hasChanged || notice.RetryAfter || hasLeft || hasChangedWarmup)
     useSubset();
 }
 
--- a/Services/Gateway/ServiceTask.h
+++ b/Services/Gateway/ServiceTask.h
@@ -26,6 +26,7 @@
   UpstreamIndex Index;
   /// Identifies this incarnation of the upstream in the same way on all VMs.
   std::uint64_t FleetKey = 0;
+  /// According to its entry.
   TimePoint WarmupEndsAt{};
   std::shared_ptr<UpstreamPool> Pool;
 };
@@ -55,6 +56,16 @@
   /// The part of the fleet's requests that this VM gets, from 0 to 1.
   void setRequestShare(double share);
   void setShareAssignment(const ShareAssignment &assignment);
+  /// Which shares of the rates of cold upstreams this VM holds.
+  void setWarmupAssignment(const ShareAssignment &assignment);
+  /// Limits the requests to each cold upstream; a rate of 0 ends that.
+  void setWarmup(double requestsPerSecond, const WarmupBounds &bounds);
+  /// The entry of an upstream was written. Takes over what it says about the warm-up of a known
+  /// upstream. Returns whether the subset has to be chosen again.
+  bool didWriteWarmup(const UpstreamRecord &record);
+  /// Chooses the upstreams that this VM works with, as after changes that have no effect by
+  /// themselves.
+  void useSubset();
   /// Sets when all requests must have been answered, those that are in progress and later ones.
   void setLatestDeadline(TimePoint latest);
 
@@ -70,6 +81,10 @@
   void attemptFailed(const RunningAttempt &attempt, AttemptStage stage, std::string_view what);
   /// The head of any response arrived that is certainly the upstream's own.
   void didReadHead(const KnownUpstream &upstream, const HttpResponseHead &head);
+  /// The same for the answer to a health check that was sent at `askedAt`. Called before the answer
+  /// can cause requests to be sent.
+  void didReadHealthHead(const KnownUpstream &upstream, const HttpResponseHead &head,
+                         TimePoint askedAt);
   void probeAnswered(ProbeId id, const LoadReport &report);
   void probeFailed(ProbeId id);
   RequestLog &log() { return Log; }
@@ -80,7 +95,10 @@
   PoolCounts connections() const;
 
 private:
-  void useSubset();
+  void didNotice(const KnownUpstream &upstream, const UpstreamNotice &notice);
+  /// Logs that an upstream has become cold or warm since the last call, if it has. Returns whether
+  /// it has.
+  bool logWarmup(const KnownUpstream &upstream, std::string_view source, TimePoint now);
   void execute(const BalanceCommands &commands);
   void run(const SendRequest &command);
   void run(const AbortAttempt &command);
@@ -99,6 +117,8 @@
   LeavingUpstreams Leaving;
   /// Upstreams whose last response named a limit that can't be read. Logged once each.
   std::set<UpstreamIndex> UnreadableLimits;
+  /// Upstreams that were last logged as cold.
+  std::set<UpstreamIndex> LoggedAsCold;
   double RequestShare = 1;
   std::string HealthPath = "/health";
   int ConnectionLimit = 64;
--- a/Services/Gateway/UpstreamExchange.cpp
+++ b/Services/Gateway/UpstreamExchange.cpp
@@ -224,6 +224,7 @@
   request.method(http::verb::get);
   request.target(service->healthPath());
   request.set(http::field::host, upstream->Record.Address);
+  const TimePoint askedAt = bootTimeNow();
   if (!co_await connection->write(request, {}))
     co_return service->probeFailed(probe);
   const auto *head = co_await connection->readHead(false, OpenEnd::Refused);
@@ -233,7 +234,7 @@
   const auto load = platform::parseLoadReport(headerValue(*head, platform::UpstreamLoadHeader));
   const bool isWhole = co_await dropBody(*connection, MaxHealthBytes);
   if (isSame)
-    service->didReadHead(*upstream, *head);
+    service->didReadHealthHead(*upstream, *head, askedAt);
   if (!isSame || !load || !isWhole)
     co_return service->probeFailed(probe);
   lease.giveBack();
--- a/Tests/LibBalance/LimitedFleet.cpp
+++ b/Tests/LibBalance/LimitedFleet.cpp
@@ -28,6 +28,15 @@
 constexpr double AllowedFactor = 1.5;
 constexpr int AllowedExtra = 5;
 
+// The rule for cold upstreams, which counts all requests of all VMs.
+constexpr WarmupBounds ColdBounds{.Overage = 1.5, .Tolerance = 8};
+constexpr Duration ColdWindow = std::chrono::seconds{1};
+constexpr Duration Warmup = std::chrono::seconds{3};
+constexpr double ColdSlowness = 2;
+constexpr Duration EntryInterval = ms(1500);
+constexpr Duration MaxEntryDelay = ms(2500);
+constexpr Duration PartitionLength = std::chrono::seconds{12};
+
 int indexOf(UpstreamIndex index) { return static_cast<int>(index.Value); }
 
 } // namespace
@@ -73,8 +82,15 @@
 
 std::vector<std::string> LimitedFleet::run() {
   planLimits();
-  for (const auto &it : Vms)
-    at(Begin + between(Duration::zero(), ms(300)), [this, vm = it.get()] { start(*vm); });
+  if (Options.WarmupPerSecond > 0)
+    planWarmups();
+  for (const auto &it : Vms) {
+    const bool isLate = Options.HasLateVms && it->Index % 3 == 1;
+    const Duration latest = isLate ? std::chrono::seconds{20} : ms(300);
+    at(Begin + between(Duration::zero(), latest), [this, vm = it.get()] { start(*vm); });
+  }
+  if (Options.HasPartitions)
+    planPartitions();
   if (Options.HasFaults)
     planFaults();
   at(Begin + ms(500), [this] { arrive(); });
@@ -87,9 +103,123 @@
   std::vector<std::string> violations;
   for (int n = 0; n < Options.Upstreams; ++n)
     check(n, violations);
+  for (int n = 0; n < Options.Upstreams; ++n)
+    checkWarmups(n, violations);
   return violations;
 }
 
+void LimitedFleet::planWarmups() {
+  for (int n = 0; n < Options.Upstreams; ++n) {
+    Upstream &upstream = Upstreams[static_cast<std::size_t>(n)];
+    upstream.NamesZero = chance(0.5);
+    TimePoint begin = Options.StartsCold ? Begin : LimitsFrom + between(Duration::zero(), ms(6000));
+    while (begin < End) {
+      upstream.ColdSpans.push_back({.Begin = begin, .End = begin + Warmup});
+      for (TimePoint it = begin; it < begin + Warmup; it += EntryInterval)
+        at(it + ms(1), [this, n] { writeEntry(n); });
+      at(begin + Warmup + between(ms(1), EntryInterval), [this, n] { writeEntry(n); });
+      begin += Warmup + between(ms(200), ms(8000));
+    }
+  }
+}
+
+void LimitedFleet::planPartitions() {
+  for (const TimePoint from : {Begin + ms(500), Begin + std::chrono::seconds{14}}) {
+    for (const auto &it : Vms) {
+      Vm &vm = *it;
+      const bool isAlone = chance(0.2);
+      const bool restarts = chance(0.3);
+      const Duration restartsAfter = between(ms(100), PartitionLength);
+      const int part = static_cast<int>(Rng.below(2));
+      at(from, [this, &vm, isAlone, part] {
+        vm.Part = part;
+        if (isAlone && !vm.IsCut)
+          cut(vm, PartitionLength);
+      });
+      at(from + PartitionLength, [&vm] { vm.Part = 0; });
+      if (restarts)
+        at(from + restartsAfter, [this, &vm] {
+          if (vm.isRunning() && !vm.IsFrozen)
+            losePower(vm, between(ms(200), ms(1500)));
+        });
+    }
+  }
+}
+
+Duration LimitedFleet::warmupRemaining(int upstream) const {
+  for (const ColdSpan &it : Upstreams[static_cast<std::size_t>(upstream)].ColdSpans)
+    if (Now >= it.Begin && Now < it.End)
+      return it.End - Now;
+  return Duration::zero();
+}
+
+void LimitedFleet::writeEntry(int upstream) {
+  const Duration remaining = warmupRemaining(upstream);
+  for (const auto &it : Vms) {
+    Vm &vm = *it;
+    inVm(vm, between(ms(20), MaxEntryDelay), [this, &vm, upstream, remaining] {
+      if (!vm.IsCut)
+        vm.Balancer->warmupReported(UpstreamIndex{static_cast<std::uint32_t>(upstream)},
+                                    static_cast<std::uint64_t>(upstream), remaining, Now);
+    });
+  }
+}
+
+std::vector<TimePoint> LimitedFleet::arrivalsIn(const Upstream &upstream,
+                                                const ColdSpan &span) const {
+  std::vector<TimePoint> result;
+  for (const Arrival &it : upstream.Arrivals)
+    if (it.At >= span.Begin && it.At < span.End)
+      result.push_back(it.At);
+  return result;
+}
+
+void LimitedFleet::checkWarmups(int upstream, std::vector<std::string> &violations) const {
+  const Upstream &it = Upstreams[static_cast<std::size_t>(upstream)];
+  const double most = Options.WarmupPerSecond * ColdBounds.Overage + ColdBounds.Tolerance;
+  for (const ColdSpan &span : it.ColdSpans) {
+    const std::vector<TimePoint> arrivals = arrivalsIn(it, span);
+    for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
+      const auto count = std::ranges::lower_bound(arrivals, *first + ColdWindow) - first;
+      if (static_cast<double>(count) <= most)
+        continue;
+      std::ostringstream line;
+      line << "cold upstream " << upstream << ": " << count << " requests in 1 s from "
+           << toSeconds(*first - Begin) << " s, cold since " << toSeconds(span.Begin - Begin);
+      violations.push_back(line.str());
+      break;
+    }
+  }
+}
+
+int LimitedFleet::sentToCold() const {
+  std::size_t sum = 0;
+  for (const Upstream &upstream : Upstreams)
+    for (const ColdSpan &it : upstream.ColdSpans)
+      sum += arrivalsIn(upstream, it).size();
+  return static_cast<int>(sum);
+}
+
+double LimitedFleet::allowedToCold() const {
+  double sum = 0;
+  for (const Upstream &upstream : Upstreams)
+    for (const ColdSpan &it : upstream.ColdSpans)
+      sum += Options.WarmupPerSecond * toSeconds(std::min(it.End, End) - it.Begin);
+  return sum;
+}
+
+int LimitedFleet::unusedColdSpans() const {
+  int sum = 0;
+  for (const Upstream &upstream : Upstreams)
+    for (const ColdSpan &it : upstream.ColdSpans)
+      sum += it.End <= End && arrivalsIn(upstream, it).empty() ? 1 : 0;
+  return sum;
+}
+
+bool LimitedFleet::isReachable(const Vm &from, const Vm &to) const {
+  return !from.IsCut && !to.IsCut && from.Part == to.Part;
+}
+
 void LimitedFleet::planLimits() {
   const bool isTogether = Options.LimitsLast || chance(0.5);
   const TimePoint together =
@@ -147,6 +277,8 @@
   vm.Balancer = std::make_unique<ServiceBalancer>(seed, Now - std::chrono::minutes{1});
   vm.Balancer->setRetryBudget(0.2, 20, std::chrono::seconds{10});
   vm.Balancer->setProbeRate(1000, Now);
+  vm.Balancer->setWarmupAssignment(ShareAssignment::withoutShares(), Now);
+  vm.Balancer->setWarmup(Options.WarmupPerSecond, ColdBounds, Now);
   vm.WakeupAt.reset();
   vm.Deferred.clear();
   vm.Objectives.clear();
@@ -158,6 +290,10 @@
          .Slots = Slots});
   BalanceCommands out;
   vm.Balancer->setUpstreams(infos, Now, out);
+  for (int n = 0; n < Options.Upstreams; ++n)
+    if (const Duration remaining = warmupRemaining(n); remaining > Duration::zero())
+      vm.Balancer->warmupReported(UpstreamIndex{static_cast<std::uint32_t>(n)},
+                                  static_cast<std::uint64_t>(n), remaining, Now);
   gossip(vm);
 }
 
@@ -191,7 +327,10 @@
 
 void LimitedFleet::gossip(Vm &vm) {
   send(vm, vm.Members->tick(Now));
-  vm.Balancer->setShareAssignment(vm.Members->shareAssignment(Now), Now);
+  vm.Balancer->setShareAssignment(vm.Members->shareAssignment(ShareRetention::NamedLimits, Now),
+                                  Now);
+  vm.Balancer->setWarmupAssignment(vm.Members->shareAssignment(ShareRetention::WarmupRates, Now),
+                                   Now);
   inVm(vm, FleetMembership::GossipInterval + between(Duration::zero(), MaxTimerDelay),
        [this, &vm] { gossip(vm); });
 }
@@ -201,7 +340,7 @@
     if (it.To - FirstAddress >= Vms.size())
       continue;
     Vm &to = *Vms[it.To - FirstAddress];
-    if (!to.isRunning() || from.IsCut || to.IsCut || chance(DatagramLoss))
+    if (!to.isRunning() || !isReachable(from, to) || chance(DatagramLoss))
       continue;
     inVm(to, between(std::chrono::microseconds{300}, ms(3)),
          [this, &to, message = it.Message] { send(to, to.Members->didReceive(message, Now)); });
@@ -262,7 +401,9 @@
   Upstream &upstream = Upstreams[static_cast<std::size_t>(index)];
   upstream.Arrivals.push_back({.At = Now, .Vm = vm.Index});
   ++upstream.Running;
-  const Duration work = WorkTime * (chance(0.05) ? 6 : 1);
+  const bool isCold = warmupRemaining(index) > Duration::zero();
+  const Duration work =
+      fromSeconds(toSeconds(WorkTime) * (chance(0.05) ? 6 : 1) * (isCold ? ColdSlowness : 1));
   at(Now + work, [&upstream] { --upstream.Running; });
   inVm(vm, work, [this, &vm, command] { answer(vm, command); });
 }
@@ -283,9 +424,17 @@
 
 void LimitedFleet::sendProbe(Vm &vm, const SendProbe &command) {
   HealthChecks += Now >= LimitsFrom ? 1 : 0;
-  inVm(vm, ms(2), [this, &vm, command] {
+  inVm(vm, ms(2), [this, &vm, command, askedAt = Now] {
     const int index = indexOf(command.Upstream);
-    vm.Balancer->noticeReceived(command.Upstream, command.Upstream.Value, noticeOf(index), Now);
+    UpstreamNotice notice = noticeOf(index);
+    const Duration remaining = warmupRemaining(index);
+    const bool isNamed =
+        remaining > Duration::zero() || Upstreams[static_cast<std::size_t>(index)].NamesZero;
+    using Content = WarmupReport::Content;
+    notice.WarmupRemaining = WarmupReport{.Kind = isNamed ? Content::Named : Content::Unnamed,
+                                          .Remaining = remaining,
+                                          .AskedAt = askedAt};
+    vm.Balancer->noticeReceived(command.Upstream, command.Upstream.Value, notice, Now);
     BalanceCommands out;
     vm.Balancer->probeAnswered(command.Probe, loadOf(index), Now, out);
     execute(vm, out);
--- a/Tests/LibBalance/LimitedFleet.h
+++ b/Tests/LibBalance/LimitedFleet.h
@@ -26,6 +26,15 @@
   bool LimitsLast = false;
   /// Whether VMs lose power, freeze, are cut off from the others, and come back.
   bool HasFaults = true;
+  /// Requests a second that cold upstreams accept. 0: no upstream is ever cold.
+  double WarmupPerSecond = 0;
+  /// Whether all upstreams are cold when all VMs start.
+  bool StartsCold = false;
+  /// Whether the fleet is separated into two parts for 12 s, twice, while VMs are cut off alone and
+  /// restart.
+  bool HasPartitions = false;
+  /// Whether a third of the VMs join in the course of the run.
+  bool HasLateVms = false;
 };
 
 /// A fleet of VMs whose callers send requests to upstreams that name rate limits. VMs and upstreams
@@ -34,6 +43,9 @@
 ///
 /// Each VM runs the code that decides what it sends to which upstream, and exchanges states with
 /// other VMs. VMs lose power, freeze, are cut off from each other, and join.
+///
+/// Upstreams may also become cold, again and again. Their entries say so every 1.5 s, and reach VMs
+/// up to 2.5 s later; VMs that are cut off miss them.
 class LimitedFleet {
 public:
   LimitedFleet(LimitedFleetOptions options, std::uint64_t seed);
@@ -45,6 +57,11 @@
   int served() const { return Served; }
   /// What all limits together allowed in that time.
   double allowed() const;
+  /// Requests that reached cold upstreams, and how many their rate allowed without its tolerance.
+  int sentToCold() const;
+  double allowedToCold() const;
+  /// Of the spans in which an upstream was cold, how many passed without any request to it.
+  int unusedColdSpans() const;
   /// Requests that were refused while they could still have met their objective.
   int refusedEarly() const { return RefusedEarly; }
   int requests() const { return Requests; }
@@ -56,13 +73,20 @@
     TimePoint End;
     double RequestsPerSecond = 0;
   };
+  struct ColdSpan {
+    TimePoint Begin;
+    TimePoint End;
+  };
   struct Arrival {
     TimePoint At;
     int Vm = 0;
   };
   struct Upstream {
     std::vector<LimitSpan> Limits;
+    std::vector<ColdSpan> ColdSpans;
     std::vector<Arrival> Arrivals;
+    /// Whether health answers name the warm-up of a warm upstream as zero.
+    bool NamesZero = false;
     int Running = 0;
     double FailureRatio = 0;
   };
@@ -73,6 +97,8 @@
     std::unique_ptr<FleetMembership> Members;
     std::unique_ptr<ServiceBalancer> Balancer;
     bool IsCut = false;
+    /// Part of the fleet; VMs of different parts don't reach each other.
+    int Part = 0;
     bool IsFrozen = false;
     std::vector<std::function<void()>> Deferred;
     std::optional<TimePoint> WakeupAt;
@@ -98,6 +124,12 @@
   void inVm(Vm &vm, Duration delay, std::function<void()> run);
 
   void planLimits();
+  void planWarmups();
+  void planPartitions();
+  /// The entry of an upstream is written; VMs learn of it one after the other.
+  void writeEntry(int upstream);
+  Duration warmupRemaining(int upstream) const;
+  bool isReachable(const Vm &from, const Vm &to) const;
   void planFaults();
   void start(Vm &vm);
   void end(Vm &vm);
@@ -119,6 +151,8 @@
   UpstreamNotice noticeOf(int upstream) const;
   LoadReport loadOf(int upstream) const;
   bool isExcused(const Arrival &arrival) const;
+  void checkWarmups(int upstream, std::vector<std::string> &violations) const;
+  std::vector<TimePoint> arrivalsIn(const Upstream &upstream, const ColdSpan &span) const;
   void check(int upstream, std::vector<std::string> &violations) const;
 
   LimitedFleetOptions Options;
--- a/Tests/LibBalance/TestRateLimits.cpp
+++ b/Tests/LibBalance/TestRateLimits.cpp
@@ -42,6 +42,7 @@
 }
 
 class LimitedFleets : public testing::TestWithParam<FleetCase> {};
+class ColdFleets : public testing::TestWithParam<FleetCase> {};
 
 } // namespace
 
@@ -77,6 +78,65 @@
                   1}),
     [](const auto &it) { return std::string{it.param.Name}; });
 
+// Guards against a cold upstream that gets more requests than it tolerates from all VMs together,
+// also from those that are partitioned or frozen, restart while they are partitioned, or have just
+// joined, and when all VMs start together while all upstreams are cold.
+TEST_P(ColdFleets, KeepTheRateOfColdUpstreams) {
+  const FleetCase &fleet = GetParam();
+  for (std::uint64_t n = 1; n <= fleet.Seeds; ++n) {
+    const std::uint64_t seed = n + seedOffset();
+    LimitedFleetOptions options = fleet.Options;
+    options.LimitedFraction = 0;
+    options.WarmupPerSecond = 4.3;
+    LimitedFleet model{options, seed};
+    const std::vector<std::string> violations = model.run();
+    ASSERT_TRUE(violations.empty())
+        << "seed " << seed << ": " << violations.front() << ", " << violations.size() << " in all";
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    OfAllSizes, ColdFleets,
+    testing::Values(
+        FleetCase{"LostVms", {.Vms = 12, .RequestsPerSecond = 200}, 40},
+        FleetCase{"Partitions", {.Vms = 16, .RequestsPerSecond = 200, .HasPartitions = true}, 40},
+        FleetCase{"StartTogether", {.Vms = 24, .RequestsPerSecond = 300, .StartsCold = true}, 30},
+        FleetCase{"StartPartitioned",
+                  {.Vms = 24, .RequestsPerSecond = 300, .StartsCold = true, .HasPartitions = true},
+                  30},
+        FleetCase{"LateVms", {.Vms = 24, .RequestsPerSecond = 300, .HasLateVms = true}, 30},
+        FleetCase{"GrownFleet",
+                  {.Vms = 124,
+                   .Upstreams = 24,
+                   .RequestsPerSecond = 600,
+                   .HasPartitions = true,
+                   .HasLateVms = true},
+                  3}),
+    [](const auto &it) { return std::string{it.param.Name}; });
+
+// Guards against a rate that is kept by leaving cold upstreams unused, and against upstreams whose
+// first requests come only when their warm-up is over.
+TEST(ColdUpstreams, GetWork) {
+  double sent = 0;
+  double allowed = 0;
+  int unused = 0;
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    LimitedFleet model{{.Vms = 16,
+                        .Upstreams = 18,
+                        .LimitedFraction = 0,
+                        .RequestsPerSecond = 200,
+                        .HasFaults = false,
+                        .WarmupPerSecond = 4.3},
+                       seed};
+    EXPECT_TRUE(model.run().empty());
+    sent += model.sentToCold();
+    allowed += model.allowedToCold();
+    unused += model.unusedColdSpans();
+  }
+  EXPECT_GE(sent, 0.5 * allowed);
+  EXPECT_EQ(unused, 0);
+}
+
 // More requests than all limits of a service carry. Guards against limits that are kept by not
 // using them: most of what they allow must be served.
 TEST(RateLimits, MostOfWhatTheLimitsAllowIsServed) {
