Tests: Guard each rule of the rate of cold upstreams

Statements and their order, late and unreadable health answers, tokens of slow connections, retries, refusals, shares of silent, isolated and started VMs, and the fields of the platform.

--- a/Tests/LibBalance/Harness.h
+++ b/Tests/LibBalance/Harness.h
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace wigeonlift {
@@ -105,6 +106,11 @@
   void handle(const BalanceCommands &commands) {
     for (const BalanceCommand &it : commands) {
       if (const auto *send = std::get_if<SendRequest>(&it)) {
+        Slowness = Balancer.choice(send->Attempt)->Slowness;
+        if (HoldsSends) {
+          Held.push_back(*send);
+          continue;
+        }
         BalanceCommands out;
         if (Balancer.maySend(send->Attempt, Now, out))
           Sent.push_back(*send);
@@ -119,6 +125,11 @@
             UnresponsiveUpstreams.end())
           continue;
         BalanceCommands out;
+        if (HealthAnswer) {
+          HealthAnswer->AskedAt = Now;
+          Balancer.noticeReceived(probe->Upstream, probe->Upstream.Value,
+                                  {.RateLimit = {}, .WarmupRemaining = HealthAnswer}, Now);
+        }
         Balancer.probeAnswered(probe->Probe, Loads[probe->Upstream], Now, out);
         handle(out);
       }
@@ -139,7 +150,14 @@
   std::vector<UpstreamInfo> Upstreams;
   std::map<UpstreamIndex, LoadReport> Loads;
   std::vector<UpstreamIndex> UnresponsiveUpstreams;
+  /// What health answers say of the warm-up.
+  std::optional<WarmupReport> HealthAnswer;
   std::vector<SendRequest> Sent;
+  /// Requests that wait for a connection, if `HoldsSends` is set.
+  std::vector<SendRequest> Held;
+  bool HoldsSends = false;
+  /// Expected slowness of the upstream that was chosen last.
+  double Slowness = 0;
   std::map<CallId, Failure> Refused;
   std::vector<AttemptId> Aborted;
   int Probes = 0;
--- a/Tests/LibBudget/TestShareAssignment.cpp
+++ b/Tests/LibBudget/TestShareAssignment.cpp
@@ -88,3 +88,25 @@
     EXPECT_EQ(held, Shares) << key;
   }
 }
+
+// Guards against saved requests that exceed the shares of a rate, and against a share that comes
+// with saved requests although its former holder may just have used them.
+TEST(DividedRate, HoldersSaveAtMostOneRequestPerShare) {
+  const TimePoint start{std::chrono::seconds{100}};
+  const DividedRate::Terms terms{
+      .FleetKey = 7, .RequestsPerSecond = 1000, .Shares = 4, .SavedRequestsPerShare = 1};
+  DividedRate rate;
+  rate.setTerms(terms, ShareAssignment{}, start);
+  EXPECT_EQ(rate.heldShares(), 4);
+  const TimePoint later = start + std::chrono::seconds{10};
+  int taken = 0;
+  while (rate.take(later))
+    ++taken;
+  EXPECT_EQ(taken, 4);
+  DividedRate gained;
+  gained.setTerms(terms, ShareAssignment::withoutShares(), start);
+  EXPECT_FALSE(gained.hasRoom(later));
+  gained.setAssignment(ShareAssignment{}, later);
+  EXPECT_FALSE(gained.take(later));
+  EXPECT_TRUE(gained.take(later + std::chrono::milliseconds{2}));
+}
--- /dev/null
+++ b/Tests/LibFleet/TestShareHolders.cpp
@@ -0,0 +1,99 @@
+#include <LibFleet/LibFleet.h>
+
+#include <gtest/gtest.h>
+
+using namespace wigeonlift;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint Start{100s};
+constexpr int Shares = 1000;
+
+FleetVm vm(VmAddress ip, std::uint32_t dataCentreWeight = 0, std::string dataCentre = "a") {
+  return {.Ip = ip,
+          .DataCentre = std::move(dataCentre),
+          .Weight = 100,
+          .DataCentreWeight = dataCentreWeight};
+}
+
+/// What one VM knows of three others.
+struct OneVm {
+  OneVm() {
+    for (; Now < Start + 10s; Now += 500ms)
+      hearAll();
+  }
+
+  void hearAll() {
+    Holders.didReceive(Now);
+    for (const VmAddress it : {2U, 3U, 4U})
+      Holders.didHear(vm(it), Now);
+  }
+  int held(bool hasSeeds = true) {
+    Holders.expire(Now);
+    return Holders.assignment(vm(1), hasSeeds, Now).heldShares(7, Shares);
+  }
+
+  TimePoint Now = Start;
+  ShareHolders Holders{Start};
+};
+
+} // namespace
+
+// Guards against a partitioned VM that takes over the shares of the others, also when it hears one
+// of them again after a long time.
+TEST(ShareHolders, IsolatedVmsKeepTheirSharesAndGainNone) {
+  OneVm it;
+  const int before = it.held();
+  EXPECT_NEAR(before, Shares / 4, Shares / 10);
+  it.Now += 300s;
+  EXPECT_EQ(it.held(), before);
+  it.Holders.didReceive(it.Now);
+  it.Holders.didHear(vm(2), it.Now);
+  EXPECT_EQ(it.held(), before);
+}
+
+// Guards against shares that move to the others while their holder may still use them, and against
+// shares of a lost VM that are never used again.
+TEST(ShareHolders, SilentVmsKeepTheirSharesForAMinute) {
+  OneVm it;
+  const int before = it.held();
+  const auto hearTwo = [&](Duration span) {
+    for (const TimePoint end = it.Now + span; it.Now < end; it.Now += 500ms) {
+      it.Holders.didReceive(it.Now);
+      it.Holders.didHear(vm(2), it.Now);
+      it.Holders.didHear(vm(3), it.Now);
+    }
+  };
+  hearTwo(58s);
+  EXPECT_EQ(it.held(), before);
+  hearTwo(4s);
+  EXPECT_GT(it.held(), before);
+}
+
+// Guards against VMs that use shares of others because they don't know the fleet yet: after a
+// start, before the first message, and when only the first message came through.
+TEST(ShareHolders, StartedVmsHoldNothingUntilTheyKnowTheOthers) {
+  OneVm started;
+  started.Holders = ShareHolders{started.Now};
+  started.Now += 60s;
+  EXPECT_EQ(started.held(), 0) << "no VM was heard of";
+  EXPECT_EQ(started.held(false), Shares) << "there is no other VM";
+  started.hearAll();
+  started.Now += 30s;
+  EXPECT_EQ(started.held(), 0) << "isolated after the first message";
+  for (int n = 0; n < 6; ++n, started.Now += 500ms) {
+    started.hearAll();
+    EXPECT_EQ(started.held(), 0);
+  }
+  started.hearAll();
+  EXPECT_GT(started.held(), 0);
+}
+
+// Guards against a VM that knows only some VMs of its data centre and takes the shares of the rest.
+TEST(ShareHolders, StandInsHoldTheSharesOfUnknownVms) {
+  OneVm it;
+  it.Holders.didHear(vm(2, 4000), it.Now);
+  EXPECT_NEAR(it.held(), Shares / 40, Shares / 40);
+  EXPECT_GT(it.held(), 0);
+}
--- a/Tests/Platform/TestPlatform.cpp
+++ b/Tests/Platform/TestPlatform.cpp
@@ -49,6 +49,34 @@
   EXPECT_EQ(parse({"1", "2"}).Kind, Content::Unusable);
 }
 
+// Guards against a warm-up that is not read, or is read from a value or an answer that doesn't say
+// anything, as when a failing health check leaves it out.
+TEST(WireFormat, ParsesTheRemainingWarmupOfHealthAnswers) {
+  using Content = WarmupReport::Content;
+  const auto parse = [](const std::vector<std::string> &values, unsigned status = 200) {
+    HttpResponseHead head;
+    head.result(status);
+    for (const std::string &it : values)
+      head.insert("x-wigeonlift-warmup-remaining", it);
+    EXPECT_FALSE(platform::parseUpstreamNotice(head).WarmupRemaining);
+    return *platform::parseHealthNotice(head, TimePoint{5s}).WarmupRemaining;
+  };
+  EXPECT_EQ(parse({}).Kind, Content::Unnamed);
+  EXPECT_EQ(parse({}).AskedAt, TimePoint{5s});
+  EXPECT_EQ(parse({}, 500).Kind, Content::Unusable);
+  EXPECT_EQ(parse({"0"}).Kind, Content::Named);
+  EXPECT_EQ(parse({"0"}).Remaining, 0s);
+  EXPECT_EQ(parse({"1250"}).Remaining, 1250ms);
+  EXPECT_EQ(parse({"1250ms"}).Remaining, 1250ms);
+  EXPECT_EQ(parse({"1.5s"}, 503).Remaining, 1500ms);
+  EXPECT_EQ(parse({"1e300"}).Remaining, 60s);
+  EXPECT_EQ(parse({"7200s"}).Remaining, 60s);
+  for (const auto &text :
+       std::vector<std::string>{"", "-1", "nan", "inf", "soon", "3m", "1e400", "2 s", "-1s"})
+    EXPECT_EQ(parse({text}).Kind, Content::Unusable) << text;
+  EXPECT_EQ(parse({"1", "2"}).Kind, Content::Unusable);
+}
+
 // Guards against an upstream that says that it leaves, or wants nothing for a time, and isn't
 // heard, and against values that can't be read and keep requests away for ever.
 TEST(WireFormat, ParsesWhatUpstreamsAskFor) {
@@ -125,6 +153,21 @@
   EXPECT_TRUE(platform::decodeUpstreamRecord("i-1", good));
 }
 
+// Guards against a rate for cold upstreams that is ignored, and against a value that can't be read
+// and leaves them without a limit.
+TEST(ConfigurationCodec, DecodesTheRateOfColdUpstreams) {
+  const auto decode = [](const std::string &fields) {
+    return platform::decodeConfiguration(R"({"version":7,"routes":[],"services":[{"name":"a")" +
+                                         fields + "}]}");
+  };
+  EXPECT_EQ(decode("")->Services[0].WarmupRequestsPerSecond, 0);
+  EXPECT_EQ(decode(R"(,"warmup-per-s":4.3,"warmup":"3s")")->Services[0].WarmupRequestsPerSecond,
+            4.3);
+  EXPECT_EQ(decode(R"(,"warmup-per-s":4)")->Services[0].WarmupRequestsPerSecond, 4);
+  for (const auto *value : {"-1", R"("many")", "null", "{}", "1e999"})
+    EXPECT_FALSE(decode(std::string{R"(,"warmup-per-s":)"} + value).ok()) << value;
+}
+
 // Guards against configuration fields that are ignored, and against a wrong call class for a route
 // kind.
 TEST(ConfigurationCodec, DecodesRoutesAndLimits) {
@@ -199,7 +242,8 @@
 ip-address = "10.1.0.34"
 internal-port-range = [7540,7555]
 seed-nodes = ["10.1.0.34:8544","nonsense"]
-bounds = ["retry-budget-ratio=0.2","budget-window=10s","retry-budget-extra=56","grace-period=6s","new=1"]
+bounds = ["retry-budget-ratio=0.2","budget-window=10s","retry-budget-extra=56","grace-period=6s","new=1",
+  "warmup-overage=1.5","warmup-tolerance=8"]
 new-field = true
 [listen-addresses]
 frontend = "10.1.0.34:8548"
@@ -216,6 +260,9 @@
   EXPECT_EQ(settings->FirstInternalPort, 7540);
   EXPECT_EQ(settings->SeedPeers, std::vector<std::string>{"10.1.0.34:8544"});
   EXPECT_EQ(settings->Bounds.RepeatExtra, 56);
+  EXPECT_EQ(settings->Bounds.WarmupOverage, 1.5);
+  EXPECT_EQ(settings->Bounds.WarmupTolerance, 8);
+  EXPECT_FALSE(FleetBounds{}.limitsWarmup());
   EXPECT_EQ(settings->Bounds.StopGrace, 6s);
   EXPECT_TRUE(settings->ReadinessAddress.empty());
   for (const auto &[from, to] :
