--- a/Libraries/LibSettings/GatewaySettings.h
+++ b/Libraries/LibSettings/GatewaySettings.h
@@ -33,6 +33,12 @@
   /// Empty if the platform sets none.
   std::optional<Duration> EvacuationDeadline{};
 
+  /// In any second, a cold upstream tolerates the rate that its service names times this factor,
+  /// plus `WarmupTolerance` requests, from all VMs. The rate is limited only if both are set.
+  std::optional<double> WarmupOverage;
+  std::optional<double> WarmupTolerance;
+
+  bool limitsWarmup() const { return WarmupOverage && WarmupTolerance; }
   /// Time within which each VM must know a change of the store.
   Duration changeDeadline() const {
     const Duration deadline = std::min(DrainTimeout, ConfigurationDeadline);
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -50,6 +50,8 @@
   void setBudgetShare(double share);
   /// Sets which shares of the rate limits of upstreams this VM holds.
   void setShareAssignment(ShareAssignment assignment);
+  /// Sets which shares of the rates of cold upstreams this VM holds.
+  void setWarmupAssignment(ShareAssignment assignment);
   /// Begins a graceful stop. Requests that wait anywhere in this process are answered in its time.
   void beginStop(TimePoint now);
   /// Notices pauses of the process, drops what has expired and closes idle connections.
@@ -83,8 +85,10 @@
 
 private:
   void didLearnPlan(const StoreItem &item, std::string_view source);
+  /// Returns whether the upstreams of a service changed. `hasChangedWarmup` is set when one became
+  /// cold or warm.
   bool didLearnUpstream(const StoreItem &item, std::string_view id, const EntryRemoval &removal,
-                        TimePoint now);
+                        TimePoint now, bool &hasChangedWarmup);
   /// Returns whether the upstreams that may get new requests have changed.
   bool didLearnEvacuation(const StoreItem &item, const EntryRemoval &removal, TimePoint now);
   void refreshServices();
@@ -95,6 +99,8 @@
   /// period is over.
   void armRemovalTimer();
   void shareBudgets();
+  /// Limits the requests to cold upstreams as the configuration and the settings say.
+  void limitWarmups();
   void logFigures(const ServiceTask &task, TimePoint now);
 
   boost::asio::io_context &Context;
@@ -118,6 +124,7 @@
   ShareAssignment Shares;
   /// Whether the first configuration, and the upstreams with it, are just being read.
   bool IsLoading = false;
+  ShareAssignment WarmupShares = ShareAssignment::withoutShares();
   StartPlan Begin;
   StopPlan Stop;
   boost::asio::steady_timer RemovalTimer;
