LibBalance: Measure the work of attempts through slow phases

Cause: the elapsed time, divided by the slowness at the start, counted phases in which the upstream is slow as work. Hedges of a long tail came too late among such work.

Change: the work of an attempt is the integral of 1 / slowness between the load reports during it. A hedge is compared with the mean work of the same distribution, with a margin of 1.25.

--- a/Libraries/LibBalance/Attempts.cpp
+++ b/Libraries/LibBalance/Attempts.cpp
@@ -23,9 +23,9 @@
 // A hedge that starts later than that would probably miss the objective.
 constexpr double HedgeLateFactor = 1.15;
 // A hedge is considered when the rest of the attempt is expected to take this multiple of the work
-// time. A good upstream may take 1.3 times the work time. In simulated draws with a tail of 3%, 1.5
-// caused a third more hedges and left hardly fewer late requests.
-constexpr double HedgeResidualFactor = 2.0;
+// of a new attempt. A good upstream may take 1.3 times the work time. With 2, hedges of simulated
+// draws with slow phases came too late for the objective.
+constexpr double HedgeResidualFactor = 1.25;
 // An attempt without a response after this multiple of the expected time may have been lost.
 constexpr double HedgeSilentFactor = 3.0;
 constexpr Duration MinTimeToLatenessCheck = std::chrono::milliseconds{20};
@@ -93,7 +93,7 @@
   const auto it = Attempts.find(id);
   if (it == Attempts.end())
     return ResponseAction::Drop;
-  const Attempt attempt = it->second;
+  Attempt attempt = it->second;
   Request &request = Requests.at(attempt.Call);
   removeAttempt(id);
   if (UpstreamView *upstream = findUpstream(attempt.Upstream))
@@ -101,6 +101,11 @@
   if (response.Kind == ResponseKind::Success) {
     WorkTimes.addSample(request.Spec.Kind, now - attempt.StartedAt, attempt.Slowness,
                         response.Bytes);
+    const UpstreamView *upstream = response.Load ? findUpstream(attempt.Upstream) : nullptr;
+    measureWork(attempt,
+                upstream ? upstream->slowness(now, TypicalSlowness) : attempt.MeasuredSlowness,
+                now);
+    WorkTimes.addFinished(request.Spec.Kind, attempt.Work, attempt.Slowness);
     Counts.HedgeWins += attempt.IsHedge ? 1 : 0;
     addAbortedWork(request, now);
     if (attempt.IsHedge)
@@ -255,10 +260,24 @@
          now, out);
 }
 
+void ServiceBalancer::measureWork(Attempt &attempt, double slowness, TimePoint now) {
+  // It is unknown when the slowness changed. The estimate assumes that this was halfway.
+  const double speed = (1 / attempt.MeasuredSlowness + 1 / slowness) / 2;
+  attempt.Work += fromSeconds(toSeconds(now - attempt.MeasuredAt) * speed);
+  attempt.MeasuredAt = now;
+  attempt.MeasuredSlowness = slowness;
+}
+
 void ServiceBalancer::addAbortedWork(const Request &request, TimePoint now) {
-  for (const AttemptId id : request.RunningAttempts)
-    if (const Attempt &it = Attempts.at(id); it.IsSent)
-      WorkTimes.addAborted(request.Spec.Kind, now - it.StartedAt, it.Slowness);
+  for (const AttemptId id : request.RunningAttempts) {
+    Attempt &it = Attempts.at(id);
+    if (!it.IsSent)
+      continue;
+    const UpstreamView *upstream = findUpstream(it.Upstream);
+    const bool isFresh = upstream && upstream->isFresh(now);
+    measureWork(it, isFresh ? upstream->slowness(now, TypicalSlowness) : it.MeasuredSlowness, now);
+    WorkTimes.addAborted(request.Spec.Kind, it.Work, it.Slowness);
+  }
 }
 
 void ServiceBalancer::noteOvertaken(const Request &request, TimePoint now) {
@@ -278,23 +297,18 @@
 }
 
 std::optional<Duration> ServiceBalancer::hedgeableWork(const Request &request) const {
-  return WorkTimes.firstWithResidual(
-      request.Spec.Kind, fromSeconds(HedgeResidualFactor * toSeconds(workTime(request))));
+  const auto newWork = WorkTimes.meanResidual(request.Spec.Kind, Duration::zero());
+  if (!newWork)
+    return std::nullopt;
+  return WorkTimes.firstWithResidual(request.Spec.Kind,
+                                     fromSeconds(HedgeResidualFactor * toSeconds(*newWork)));
 }
 
-Duration ServiceBalancer::workDone(const Attempt &attempt, double slowness, TimePoint now) {
-  // It is unknown when the upstream became slow. The estimate assumes that this was halfway through
-  // the elapsed time.
-  const double elapsed = toSeconds(now - attempt.StartedAt);
-  return fromSeconds(slowness > attempt.Slowness ? elapsed / 2 * (1 + 1 / slowness)
-                                                 : elapsed / attempt.Slowness);
-}
-
-bool ServiceBalancer::canOvertake(const Request &request, const Attempt &attempt, double slowness,
-                                  TimePoint now) const {
-  const auto residual = WorkTimes.meanResidual(request.Spec.Kind, workDone(attempt, slowness, now));
-  return residual &&
-         toSeconds(*residual) * slowness > HedgeResidualFactor * toSeconds(workTime(request));
+bool ServiceBalancer::canOvertake(const Request &request, Duration work, double slowness) const {
+  const auto newWork = WorkTimes.meanResidual(request.Spec.Kind, Duration::zero());
+  const auto residual = WorkTimes.meanResidual(request.Spec.Kind, work);
+  return newWork && residual &&
+         toSeconds(*residual) * slowness > HedgeResidualFactor * toSeconds(*newWork);
 }
 
 void ServiceBalancer::scheduleHedge(Request &request, const Candidate &candidate, TimePoint now) {
@@ -309,25 +323,27 @@
       now + fromSeconds(HedgeSilentFactor * toSeconds(candidate.ExpectedTime));
   request.HedgeAt =
       lastChance > now + MinTimeToLatenessCheck ? std::min(lastChance, silentAt) : silentAt;
-  if (const auto work = hedgeableWork(request)) {
-    const Attempt &attempt = Attempts.at(request.RunningAttempts.back());
-    request.HedgeAt =
-        std::min(request.HedgeAt, now + fromSeconds(toSeconds(*work) * attempt.Slowness));
-  }
+  // A slow upstream may recover at any time, so the first check assumes the usual speed.
+  if (const auto work = hedgeableWork(request))
+    request.HedgeAt = std::min(request.HedgeAt, now + *work);
 }
 
 TimePoint ServiceBalancer::expectedEnd(const Attempt &attempt, Duration expectedWork,
                                        double slowness, TimePoint now) {
-  const double done = toSeconds(workDone(attempt, slowness, now));
+  // It is unknown when the upstream became slow. The estimate assumes that this was halfway through
+  // the elapsed time.
+  const double elapsed = toSeconds(now - attempt.StartedAt);
+  const double workDone =
+      slowness > attempt.Slowness ? elapsed / 2 * (1 + 1 / slowness) : elapsed / attempt.Slowness;
   const double workTime = toSeconds(expectedWork);
-  return now + fromSeconds(std::max(workTime - done, MinRemainingWork * workTime) * slowness);
+  return now + fromSeconds(std::max(workTime - workDone, MinRemainingWork * workTime) * slowness);
 }
 
 void ServiceBalancer::checkHedge(Request &request, TimePoint now, BalanceCommands &out) {
   request.HedgeAt = TimePoint::max();
   if (request.IsQueued || request.RunningAttempts.empty() || !mayAttemptAgain(request, now))
     return;
-  const Attempt &attempt = Attempts.at(request.RunningAttempts.front());
+  Attempt &attempt = Attempts.at(request.RunningAttempts.front());
   const Duration expectedWork = workTime(request);
   const bool isSilent = toSeconds(now - attempt.StartedAt) >=
                         HedgeSilentFactor * toSeconds(expectedWork) * attempt.Slowness;
@@ -336,18 +352,17 @@
       upstream && upstream->isFresh(now) &&
       expectedEnd(attempt, expectedWork, upstream->slowness(now, TypicalSlowness), now) >
           request.Spec.Objective;
-  // From `hedgeableAt` on, the distribution of work times may call for a hedge. The upstream is
-  // asked first whether it became slow, but its answer isn't waited for twice.
+  // The distribution of work times may call for a hedge. The upstream is asked first whether it
+  // became slow, but its answer isn't waited for twice.
   const auto hedgeable = hedgeableWork(request);
-  const TimePoint hedgeableAt =
-      hedgeable ? attempt.StartedAt + fromSeconds(toSeconds(*hedgeable) * attempt.Slowness)
-                : TimePoint::max();
   const bool isFresh = upstream && upstream->isFresh(now);
   const bool isAsked = upstream && !isSilent && !isFresh && !upstream->Probe &&
                        Limits.mayProbe(attempt.Upstream, now) && sendProbe(*upstream, now, out);
-  const double slowness = isFresh ? upstream->slowness(now, TypicalSlowness) : attempt.Slowness;
-  const bool isOvertakable =
-      now >= hedgeableAt && !isAsked && canOvertake(request, attempt, slowness, now);
+  if (!isAsked)
+    measureWork(attempt,
+                isFresh ? upstream->slowness(now, TypicalSlowness) : attempt.MeasuredSlowness, now);
+  const bool isOvertakable = !isAsked && hedgeable && attempt.Work >= *hedgeable &&
+                             canOvertake(request, attempt.Work, attempt.MeasuredSlowness);
   if (isSilent || isTooSlow || isOvertakable || !upstream) {
     Counts.ResidualHedges += isOvertakable && !isSilent && !isTooSlow ? 1 : 0;
     request.IsQueued = true;
@@ -363,7 +378,8 @@
   request.HedgeAt =
       now + expectedWork <= request.Spec.Objective ? nextCheck : std::max(silentAt, nextCheck);
   if (hedgeable)
-    request.HedgeAt = std::min(request.HedgeAt, std::max(hedgeableAt, nextCheck));
+    request.HedgeAt = std::min(
+        request.HedgeAt, std::max(attempt.MeasuredAt + (*hedgeable - attempt.Work), nextCheck));
 }
 
 Duration ServiceBalancer::retryAfter(const Request &request, FailureKind kind,
--- a/Libraries/LibBalance/Placement.cpp
+++ b/Libraries/LibBalance/Placement.cpp
@@ -235,6 +235,8 @@
   attempt.Upstream = view.info().Index;
   attempt.StartedAt = now;
   attempt.Slowness = view.slowness(now, TypicalSlowness);
+  attempt.MeasuredAt = now;
+  attempt.MeasuredSlowness = attempt.Slowness;
   attempt.IsHedge = request.WantsHedge;
   attempt.IsExtraAttempt = !request.TriedUpstreams.empty();
   const auto rateLimit = Limits.requestsPerSecond(attempt.Upstream);
--- a/Libraries/LibBalance/ServiceBalancer.h
+++ b/Libraries/LibBalance/ServiceBalancer.h
@@ -149,6 +149,10 @@
     TimePoint StartedAt{};
     /// Estimated slowness of the upstream at the start of the attempt.
     double Slowness = 1;
+    /// Work done until `MeasuredAt`, as time at the usual speed, and the slowness at that time.
+    Duration Work{};
+    TimePoint MeasuredAt{};
+    double MeasuredSlowness = 1;
     bool IsSent = false;
     bool IsHedge = false;
     /// A retry or a hedge.
@@ -237,14 +241,14 @@
   /// Adds the sent attempts of a request that is about to end to the distribution of work times, as
   /// they would have taken longer than they have run.
   void addAbortedWork(const Request &request, TimePoint now);
-  /// The work that an attempt has probably done, if the upstream's slowness is now `slowness`.
-  static Duration workDone(const Attempt &attempt, double slowness, TimePoint now);
+  /// Adds the work that was probably done since the last measurement, if the upstream's slowness is
+  /// now `slowness`.
+  static void measureWork(Attempt &attempt, double slowness, TimePoint now);
   /// Work from which the rest of an attempt is expected to take longer than a new attempt.
   std::optional<Duration> hedgeableWork(const Request &request) const;
-  /// Whether a new attempt is expected to end well before `attempt`, by the distribution of work
-  /// times.
-  bool canOvertake(const Request &request, const Attempt &attempt, double slowness,
-                   TimePoint now) const;
+  /// Whether a new attempt is expected to end well before one that has done `work`, by the
+  /// distribution of work times.
+  bool canOvertake(const Request &request, Duration work, double slowness) const;
   /// Sets when to check whether the request needs a hedge.
   void scheduleHedge(Request &request, const Candidate &candidate, TimePoint now);
   Duration retryAfter(const Request &request, FailureKind kind, TimePoint now) const;
--- a/Libraries/LibBalance/WorkEstimate.cpp
+++ b/Libraries/LibBalance/WorkEstimate.cpp
@@ -62,13 +62,14 @@
                                estimate.Samples <= InitialSamples ? 1.0 / estimate.Samples : 0.0);
   estimate.Seconds += gain * (seconds - estimate.Seconds);
   estimate.Bytes += gain * (static_cast<double>(responseBytes) - estimate.Bytes);
-  distribution(estimate).addFinished(fromSeconds(seconds), sampleGain(slowness) / NormalSampleGain);
 }
 
-void WorkEstimate::addAborted(std::uint32_t kind, Duration elapsed, double slowness) {
-  distribution(Kinds[kind])
-      .addAborted(fromSeconds(toSeconds(elapsed) / std::max(1.0, slowness)),
-                  sampleGain(slowness) / NormalSampleGain);
+void WorkEstimate::addFinished(std::uint32_t kind, Duration work, double slowness) {
+  distribution(Kinds[kind]).addFinished(work, sampleGain(slowness) / NormalSampleGain);
+}
+
+void WorkEstimate::addAborted(std::uint32_t kind, Duration work, double slowness) {
+  distribution(Kinds[kind]).addAborted(work, sampleGain(slowness) / NormalSampleGain);
 }
 
 std::optional<Duration> WorkEstimate::meanResidual(std::uint32_t kind, Duration elapsed) const {
--- a/Libraries/LibBalance/WorkEstimate.h
+++ b/Libraries/LibBalance/WorkEstimate.h
@@ -28,8 +28,12 @@
   /// Adds a response that arrived after `elapsed` from an upstream that was slower than usual by
   /// the factor `slowness`.
   void addSample(std::uint32_t kind, Duration elapsed, double slowness, std::size_t responseBytes);
-  /// Adds an attempt that was aborted after `elapsed`, so it would have taken longer.
-  void addAborted(std::uint32_t kind, Duration elapsed, double slowness);
+
+  /// Adds the work of an attempt, as time at the usual speed, to the distribution. The attempt
+  /// started when the upstream was slower than usual by the factor `slowness`. One that was aborted
+  /// would have taken longer.
+  void addFinished(std::uint32_t kind, Duration work, double slowness);
+  void addAborted(std::uint32_t kind, Duration work, double slowness);
 
   /// Expected remaining work of an attempt that has done the work `elapsed`, both as times at the
   /// usual speed. Empty while there are too few samples, or if none took that long.
