--- a/Libraries/LibBalance/Attempts.cpp
+++ b/Libraries/LibBalance/Attempts.cpp
@@ -14,10 +14,18 @@
 constexpr double NotRunPenalty = 0.4;
 constexpr double ConnectionFailurePenalty = 1.5;
 constexpr double TimeoutPenalty = 1.0;
+// A hedge responded before the attempt did. Less than for a lost response, as it may only be slow.
+constexpr double OvertakenPenalty = 0.5;
+// An overtaken attempt counts as a failure after this multiple of the expected time.
+constexpr double OvertakenFactor = 2.0;
 
 // A hedge is considered when the time left until the objective is this multiple of the work time.
 // A hedge that starts later than that would probably miss the objective.
 constexpr double HedgeLateFactor = 1.15;
+// A hedge is considered when the rest of the attempt is expected to take this multiple of the work
+// of a new attempt. A good upstream may take 1.3 times the work time. With 2, hedges of simulated
+// draws with slow phases came too late for the objective.
+constexpr double HedgeResidualFactor = 1.25;
 // An attempt without a response after this multiple of the expected time may have been lost.
 constexpr double HedgeSilentFactor = 3.0;
 constexpr Duration MinTimeToLatenessCheck = std::chrono::milliseconds{20};
@@ -91,7 +99,7 @@
   const auto it = Attempts.find(id);
   if (it == Attempts.end())
     return ResponseAction::Drop;
-  const Attempt attempt = it->second;
+  Attempt attempt = it->second;
   Request &request = Requests.at(attempt.Call);
   removeAttempt(id);
   if (UpstreamView *upstream = findUpstream(attempt.Upstream))
@@ -99,7 +107,15 @@
   if (response.Kind == ResponseKind::Success) {
     WorkTimes.addSample(request.Spec.Kind, now - attempt.StartedAt, attempt.Slowness,
                         response.Bytes);
+    const UpstreamView *upstream = response.Load ? findUpstream(attempt.Upstream) : nullptr;
+    measureWork(attempt,
+                upstream ? upstream->slowness(now, TypicalSlowness) : attempt.MeasuredSlowness,
+                now);
+    WorkTimes.addFinished(request.Spec.Kind, attempt.Work, attempt.Slowness);
     Counts.HedgeWins += attempt.IsHedge ? 1 : 0;
+    addAbortedWork(request, now);
+    if (attempt.IsHedge)
+      noteOvertaken(request, now);
     finishRequest(request, out);
     dispatchQueue(now, out);
     return ResponseAction::Relay;
@@ -261,6 +277,7 @@
 }
 
 void ServiceBalancer::expireRequest(Request &request, TimePoint now, BalanceCommands &out) {
+  addAbortedWork(request, now);
   for (const AttemptId id : std::vector<AttemptId>{request.RunningAttempts}) {
     if (UpstreamView *upstream = findUpstream(Attempts.at(id).Upstream))
       upstream->didFail(TimeoutPenalty, now);
@@ -272,6 +289,57 @@
          now, out);
 }
 
+void ServiceBalancer::measureWork(Attempt &attempt, double slowness, TimePoint now) {
+  // It is unknown when the slowness changed. The estimate assumes that this was halfway.
+  const double speed = (1 / attempt.MeasuredSlowness + 1 / slowness) / 2;
+  attempt.Work += fromSeconds(toSeconds(now - attempt.MeasuredAt) * speed);
+  attempt.MeasuredAt = now;
+  attempt.MeasuredSlowness = slowness;
+}
+
+void ServiceBalancer::addAbortedWork(const Request &request, TimePoint now) {
+  for (const AttemptId id : request.RunningAttempts) {
+    Attempt &it = Attempts.at(id);
+    if (!it.IsSent)
+      continue;
+    const UpstreamView *upstream = findUpstream(it.Upstream);
+    const bool isFresh = upstream && upstream->isFresh(now);
+    measureWork(it, isFresh ? upstream->slowness(now, TypicalSlowness) : it.MeasuredSlowness, now);
+    WorkTimes.addAborted(request.Spec.Kind, it.Work, it.Slowness);
+  }
+}
+
+void ServiceBalancer::noteOvertaken(const Request &request, TimePoint now) {
+  for (const AttemptId id : request.RunningAttempts) {
+    const Attempt &attempt = Attempts.at(id);
+    UpstreamView *upstream = findUpstream(attempt.Upstream);
+    if (!upstream || !attempt.IsSent)
+      continue;
+    const double slowness = std::max(
+        attempt.Slowness, upstream->hasReport() ? upstream->slowness(now, TypicalSlowness) : 1.0);
+    if (toSeconds(now - attempt.StartedAt) <
+        OvertakenFactor * toSeconds(workTime(request)) * slowness)
+      continue;
+    ++Counts.OvertakenAttempts;
+    upstream->didFail(OvertakenPenalty, now);
+  }
+}
+
+std::optional<Duration> ServiceBalancer::hedgeableWork(const Request &request) const {
+  const auto newWork = WorkTimes.meanResidual(request.Spec.Kind, Duration::zero());
+  if (!newWork)
+    return std::nullopt;
+  return WorkTimes.firstWithResidual(request.Spec.Kind,
+                                     fromSeconds(HedgeResidualFactor * toSeconds(*newWork)));
+}
+
+bool ServiceBalancer::canOvertake(const Request &request, Duration work, double slowness) const {
+  const auto newWork = WorkTimes.meanResidual(request.Spec.Kind, Duration::zero());
+  const auto residual = WorkTimes.meanResidual(request.Spec.Kind, work);
+  return newWork && residual &&
+         toSeconds(*residual) * slowness > HedgeResidualFactor * toSeconds(*newWork);
+}
+
 void ServiceBalancer::scheduleHedge(Request &request, const Candidate &candidate, TimePoint now) {
   request.HedgeAt = TimePoint::max();
   if (request.Spec.Class == CallClass::NonIdempotent ||
@@ -284,6 +352,9 @@
       now + fromSeconds(HedgeSilentFactor * toSeconds(candidate.ExpectedTime));
   request.HedgeAt =
       lastChance > now + MinTimeToLatenessCheck ? std::min(lastChance, silentAt) : silentAt;
+  // A slow upstream may recover at any time, so the first check assumes the usual speed.
+  if (const auto work = hedgeableWork(request))
+    request.HedgeAt = std::min(request.HedgeAt, now + *work);
 }
 
 TimePoint ServiceBalancer::expectedEnd(const Attempt &attempt, Duration expectedWork,
@@ -301,7 +372,7 @@
   request.HedgeAt = TimePoint::max();
   if (request.IsQueued || request.RunningAttempts.empty() || !mayAttemptAgain(request, now))
     return;
-  const Attempt &attempt = Attempts.at(request.RunningAttempts.front());
+  Attempt &attempt = Attempts.at(request.RunningAttempts.front());
   const Duration expectedWork = workTime(request);
   const bool isSilent = toSeconds(now - attempt.StartedAt) >=
                         HedgeSilentFactor * toSeconds(expectedWork) * attempt.Slowness;
@@ -310,23 +381,34 @@
       upstream && upstream->isFresh(now) &&
       expectedEnd(attempt, expectedWork, upstream->slowness(now, TypicalSlowness), now) >
           request.Spec.Objective;
-  if (isSilent || isTooSlow || !upstream) {
+  // The distribution of work times may call for a hedge. The upstream is asked first whether it
+  // became slow, but its answer isn't waited for twice.
+  const auto hedgeable = hedgeableWork(request);
+  const bool isFresh = upstream && upstream->isFresh(now);
+  const bool isAsked = upstream && !isSilent && !isFresh && !upstream->Probe &&
+                       Limits.mayProbe(attempt.Upstream, now) && sendProbe(*upstream, now, out);
+  if (!isAsked)
+    measureWork(attempt,
+                isFresh ? upstream->slowness(now, TypicalSlowness) : attempt.MeasuredSlowness, now);
+  const bool isOvertakable = !isAsked && hedgeable && attempt.Work >= *hedgeable &&
+                             canOvertake(request, attempt.Work, attempt.MeasuredSlowness);
+  if (isSilent || isTooSlow || isOvertakable || !upstream) {
+    Counts.ResidualHedges += isOvertakable && !isSilent && !isTooSlow ? 1 : 0;
     request.IsQueued = true;
     request.WantsHedge = true;
     request.ProbeRounds = 0;
     Queue.insert(request.Spec.Id);
     return;
   }
-  // Probes whether the upstream became slow. The next check evaluates the response.
-  if (!upstream->isFresh(now) && !upstream->Probe && Limits.mayProbe(attempt.Upstream, now))
-    sendProbe(*upstream, now, out);
-  const TimePoint nextCheck =
-      now + (upstream->isFresh(now) ? HedgeCheckInterval : std::chrono::milliseconds{5});
+  const TimePoint nextCheck = now + (isFresh ? HedgeCheckInterval : std::chrono::milliseconds{5});
   const TimePoint silentAt =
       attempt.StartedAt +
       fromSeconds(HedgeSilentFactor * toSeconds(expectedWork) * attempt.Slowness);
   request.HedgeAt =
       now + expectedWork <= request.Spec.Objective ? nextCheck : std::max(silentAt, nextCheck);
+  if (hedgeable)
+    request.HedgeAt = std::min(
+        request.HedgeAt, std::max(attempt.MeasuredAt + (*hedgeable - attempt.Work), nextCheck));
 }
 
 Duration ServiceBalancer::retryAfter(const Request &request, FailureKind kind,
