LibHttp: Take an answer with status 000 for no answer

Cause: readHead skipped each status below 200 as an interim one. After an answer with status 000 an idempotent request waited for a hedge (0.6 to 0.7 s), a non-idempotent one for its deadline (504 after 1.5 s), and a body of such an answer that looked like an answer was passed on to the caller as one (200).

Change: a status below 100 makes the head a broken one.

Result: the request is repeated at once, or ends with 502 if it may have run, and the connection is closed.

--- a/Libraries/LibHttp/UpstreamConnection.cpp
+++ b/Libraries/LibHttp/UpstreamConnection.cpp
@@ -31,6 +31,7 @@
 
 constexpr auto Completion = asio::as_tuple(asio::use_awaitable);
 constexpr std::uint32_t MaxHeadBytes = 64 * 1024;
+constexpr unsigned FirstInterimStatus = 100;
 constexpr unsigned FirstFinalStatus = 200;
 // An upstream that sends interim responses without end would keep the process busy until the
 // deadline.
@@ -97,6 +98,9 @@
         co_await http::async_read_header(Socket, Reader->Buffer, parser, Completion);
     if (ec)
       co_return nullptr;
+    // Upstreams in trouble send 000. It is no interim response: a body may follow it.
+    if (parser.get().result_int() < FirstInterimStatus)
+      co_return nullptr;
     // Interim responses such as 100 Continue precede the final one.
     if (parser.get().result_int() < FirstFinalStatus)
       continue;
--- a/Libraries/LibHttp/UpstreamConnection.h
+++ b/Libraries/LibHttp/UpstreamConnection.h
@@ -41,8 +41,8 @@
   boost::asio::awaitable<bool> writeMore(std::string_view body);
 
   /// Reads the head of the response, which stays valid until the next request; null when the
-  /// connection broke, the head is malformed, too many interim responses precede it, or nothing
-  /// marks the end of the body where that is refused.
+  /// connection broke, the head is malformed or has a status below 100, too many interim responses
+  /// precede it, or nothing marks the end of the body where that is refused.
   boost::asio::awaitable<const HttpResponseHead *> readHead(bool isHeadRequest,
                                                             OpenEnd openEnd = OpenEnd::Refused);
   /// Reads the next part of the body into the buffer. A body that goes on in tiny parts counts as
