--- a/Tests/Gateway/GatewayFixture.cpp
+++ b/Tests/Gateway/GatewayFixture.cpp
@@ -39,6 +39,13 @@
   return settings;
 }
 
+std::string entryOf(const PlatformUpstream &upstream, std::string_view warmupRemaining) {
+  return fmt::format(
+      R"({{"service":"s","address":"{}","zone":"a","version":"v1","capacity-slots":3,)"
+      R"("state":"ready","warmup-remaining":"{}","sequence":1,"born":1}})",
+      upstream.address(), warmupRemaining);
+}
+
 std::string fieldOf(const std::string &request, std::string_view name) {
   const std::string key = fmt::format("\r\n{}: ", name);
   const std::size_t n = request.find(key);
@@ -86,15 +93,36 @@
       {.Key = std::string{platform::ConfigurationKey}, .Value = Configuration, .Revision = 1}};
   for (const PlatformUpstream *it : upstreams)
     items.push_back(
-        {.Key = "servers/" + it->id(),
-         .Value = fmt::format(
-             R"({{"service":"s","address":"{}","zone":"a","version":"v1","capacity-slots":3,)"
-             R"("state":"ready","warmup-remaining":"0ms","sequence":1,"born":1}})",
-             it->address()),
-         .Revision = items.size() + 1});
+        {.Key = "servers/" + it->id(), .Value = entryOf(*it, "0ms"), .Revision = items.size() + 1});
   Core.didLearn(items, "test", {});
 }
 
+void GatewayFixture::limitWarmups(double requestsPerSecond) {
+  GatewaySettings settings = testSettings();
+  settings.Bounds.WarmupOverage = 1.5;
+  settings.Bounds.WarmupTolerance = 8;
+  Core.setSettings(settings);
+  Core.setWarmupAssignment({});
+  std::string configuration = Configuration;
+  const auto replace = [&](std::string_view from, const std::string &to) {
+    configuration.replace(configuration.find(from), from.size(), to);
+  };
+  replace(R"("version":3)", R"("version":4)");
+  replace(R"("max-connections":200)",
+          fmt::format(R"("max-connections":200,"warmup-per-s":{})", requestsPerSecond));
+  const StoreItem item{.Key = std::string{platform::ConfigurationKey},
+                       .Value = configuration,
+                       .Revision = ++LastRevision};
+  Core.didLearn(std::span{&item, 1}, "test", {});
+}
+
+void GatewayFixture::rewrite(const PlatformUpstream &upstream, std::string_view warmupRemaining) {
+  const StoreItem item{.Key = "servers/" + upstream.id(),
+                       .Value = entryOf(upstream, warmupRemaining),
+                       .Revision = ++LastRevision};
+  Core.didLearn(std::span{&item, 1}, "test", {});
+}
+
 std::shared_ptr<RawCaller> GatewayFixture::connect() {
   auto caller = std::make_shared<RawCaller>(Context, Callers.port());
   caller->receiveAll();
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -52,6 +52,10 @@
   /// (download) and `/brief/` (safe, its timeout shorter than its objective) of `h.example` in
   /// force, and the upstreams that serve all of them.
   void configure(const std::vector<const PlatformUpstream *> &upstreams);
+  /// Limits the requests to cold upstreams of a configured gateway that is the only one.
+  void limitWarmups(double requestsPerSecond);
+  /// The entry of a configured upstream is written with this remaining warm-up.
+  void rewrite(const PlatformUpstream &upstream, std::string_view warmupRemaining);
   std::shared_ptr<RawCaller> connect();
   /// Sends bytes on a connection of its own and waits for the whole answer or the end.
   std::shared_ptr<RawCaller> ask(const std::string &request);
@@ -62,6 +66,7 @@
   EventLog Log;
   Gateway Core;
   CallerServer Callers;
+  StoreRevision LastRevision = 100;
 };
 
 /// A request with an attempt id, a deadline of 2 s and a body if there is one.
