--- a/Libraries/LibFleet/ShareHolders.cpp
+++ b/Libraries/LibFleet/ShareHolders.cpp
@@ -86,6 +86,7 @@
     missing -= own.Weight;
   }
   std::vector<ShareAssignment::DataCentre> dataCentres;
+  dataCentres.reserve(weights.size());
   for (const auto &[name, it] : weights)
     dataCentres.push_back(
         {.Name = std::string{name}, .Weight = std::max(it.KnownWeight, it.ToldWeight)});
