--- a/Tests/Gateway/GatewayFixture.cpp
+++ b/Tests/Gateway/GatewayFixture.cpp
@@ -107,7 +107,7 @@
   const auto replace = [&](std::string_view from, const std::string &to) {
     configuration.replace(configuration.find(from), from.size(), to);
   };
-  replace(R"("version":3)", R"("version":4)");
+  replace(R"("version":3)", fmt::format(R"("version":{})", ++LastRevision));
   replace(R"("max-connections":200)",
           fmt::format(R"("max-connections":200,"warmup-per-s":{})", requestsPerSecond));
   const StoreItem item{.Key = std::string{platform::ConfigurationKey},
