--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -57,6 +57,10 @@
   void configure(const std::vector<const PlatformUpstream *> &upstreams);
   /// Writes (true) or removes (false) orders to evacuate data centres, in one update.
   void learnEvacuations(const std::map<std::string, bool> &isOrdered);
+  /// Limits the requests to cold upstreams of a configured gateway that is the only one.
+  void limitWarmups(double requestsPerSecond);
+  /// The entry of a configured upstream is written with this remaining warm-up.
+  void rewrite(const PlatformUpstream &upstream, std::string_view warmupRemaining);
   std::shared_ptr<RawCaller> connect();
   /// Sends bytes on a connection of its own and waits for the whole answer or the end.
   std::shared_ptr<RawCaller> ask(const std::string &request);
@@ -67,6 +71,7 @@
   EventLog Log;
   Gateway Core;
   CallerServer Callers;
+  StoreRevision LastRevision = 100;
 };
 
 /// A request with an attempt id, a deadline of 2 s and a body if there is one.
