Gateway: Read answers ahead for slow callers, send slow upstreams one large body at a time

Cause: the rest of an answer above 2 MiB stayed at the upstream for as long as its caller took for 64 KiB, and upstreams abort answers that are unread for some seconds. The kernel held some MB for each slow peer. A held answer had to be taken within 30 s. Nothing kept a VM from sending several large bodies to an upstream that reads slowly. An answer in chunks for which there was no memory at all began with an empty chunk, which ends it.

Change: after 500 ms without progress an answer is read ahead into the memory for answers, up to as much as it leaves free (AnswerReadAhead). TCP_NOTSENT_LOWAT limits what the kernel holds. The 30 s count from the last progress. A body above 64 KiB goes only to an upstream that has acknowledged the last such body (BodyTransfer, ServiceBalancer::bodyTaken).

Fast callers and upstreams take the former path.

--- a/Libraries/LibBalance/Attempts.cpp
+++ b/Libraries/LibBalance/Attempts.cpp
@@ -70,7 +70,8 @@
   // An upstream that was removed, or has said that it wants no more requests, after it was chosen
   // gets none.
   const UpstreamIndex upstream = it->second.Upstream;
-  const bool isUnavailable = !findUpstream(upstream) || Limits.wantsNothing(upstream, now) ||
+  const bool isUnavailable = !findUpstream(upstream) || mustAwaitBody(upstream, request) ||
+                             Limits.wantsNothing(upstream, now) ||
                              (!it->second.IsWithinLimit && !Limits.take(upstream, now));
   if (isUnavailable || (it->second.IsExtraAttempt && !RetryLimiter.take(now))) {
     const bool isExtraAttempt = it->second.IsExtraAttempt;
@@ -83,6 +84,8 @@
     dispatchQueue(now, out);
     return false;
   }
+  if (request.Spec.BodyBytes > RequestSpec::MaxSmallBodyBytes)
+    ReadingBodies.insert(upstream);
   it->second.IsSent = true;
   ++request.PossibleExecutions;
   return true;
@@ -171,6 +174,11 @@
   dispatchQueue(now, out);
 }
 
+void ServiceBalancer::bodyTaken(UpstreamIndex upstream, TimePoint now, BalanceCommands &out) {
+  ReadingBodies.erase(upstream);
+  dispatchQueue(now, out);
+}
+
 void ServiceBalancer::removeAttempt(AttemptId id) {
   const auto it = Attempts.find(id);
   if (it == Attempts.end())
--- a/Libraries/LibBalance/BalanceTypes.h
+++ b/Libraries/LibBalance/BalanceTypes.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/LibBase.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -24,6 +25,11 @@
 
 /// The properties of a request that placement, retries and hedging depend on.
 struct RequestSpec {
+  /// A larger body is sent to an upstream only when it has read the last one of this VM, since one
+  /// that holds too many of them may run out of memory. This much fits in the buffer that the
+  /// upstream's kernel starts with, so it isn't seen whether it was read.
+  static constexpr std::size_t MaxSmallBodyBytes = std::size_t{64} * 1024;
+
   CallId Id;
   CallClass Class = CallClass::NonIdempotent;
   /// Groups requests that take about the same time. The I/O layer chooses the number.
@@ -40,6 +46,7 @@
   int Priority = 0;
   /// Includes the first attempt, retries and hedges.
   int MaxAttempts = 1;
+  std::size_t BodyBytes = 0;
 };
 
 /// Tells the I/O layer to send a request to an upstream.
--- a/Libraries/LibBalance/Placement.cpp
+++ b/Libraries/LibBalance/Placement.cpp
@@ -181,11 +181,17 @@
   return result;
 }
 
+bool ServiceBalancer::mustAwaitBody(UpstreamIndex upstream, const Request &request) const {
+  return request.Spec.BodyBytes > RequestSpec::MaxSmallBodyBytes &&
+         ReadingBodies.contains(upstream);
+}
+
 bool ServiceBalancer::isEligible(const UpstreamView &view, const Request &request,
                                  TimePoint now) const {
   const auto &tried = request.TriedUpstreams;
   return excessFailureScore(view, now) < EjectionScore &&
-         std::ranges::find(tried, view.info().Index) == tried.end();
+         std::ranges::find(tried, view.info().Index) == tried.end() &&
+         !mustAwaitBody(view.info().Index, request);
 }
 
 ServiceBalancer::Candidate ServiceBalancer::evaluate(UpstreamView &view, const Request &request,
--- a/Libraries/LibBalance/ServiceBalancer.h
+++ b/Libraries/LibBalance/ServiceBalancer.h
@@ -98,6 +98,10 @@
                                   BalanceCommands &out);
   void attemptFailed(AttemptId id, AttemptStage stage, TimePoint now, BalanceCommands &out);
 
+  /// The upstream has read the large body of the last request that was sent to it, or the request
+  /// has ended. Called once for each such request.
+  void bodyTaken(UpstreamIndex upstream, TimePoint now, BalanceCommands &out);
+
   void probeAnswered(ProbeId id, const LoadReport &report, TimePoint now, BalanceCommands &out);
   void probeFailed(ProbeId id, TimePoint now, BalanceCommands &out);
   /// Sets which parts of the rate limits of upstreams this VM may use.
@@ -126,6 +130,7 @@
   TimePoint latestDeadline() const { return LatestDeadline; }
   std::size_t queuedRequests() const { return Queue.size(); }
   std::size_t runningAttempts() const { return Attempts.size(); }
+  std::size_t upstreamsReadingBodies() const { return ReadingBodies.size(); }
 
 private:
   struct Request {
@@ -185,6 +190,8 @@
   /// their soft slot limit.
   std::optional<Candidate> bestCandidate(const Request &request, TimePoint now);
   Candidate evaluate(UpstreamView &view, const Request &request, TimePoint now) const;
+  /// Whether the request has a large body and the upstream has yet to read another.
+  bool mustAwaitBody(UpstreamIndex upstream, const Request &request) const;
   bool isEligible(const UpstreamView &view, const Request &request, TimePoint now) const;
   /// Whether the cost is close to that of an idle upstream.
   bool isGood(const Candidate &candidate, const Request &request) const;
@@ -259,6 +266,8 @@
   std::map<CallId, Request> Requests;
   std::set<CallId> Queue;
   std::map<AttemptId, Attempt> Attempts;
+  /// Upstreams that have not yet read a large body.
+  std::set<UpstreamIndex> ReadingBodies;
   std::map<ProbeId, UpstreamIndex> Probes;
   WorkEstimate WorkTimes;
   RepeatBudget RetryLimiter;
--- a/Libraries/LibHttp/CallerConnection.cpp
+++ b/Libraries/LibHttp/CallerConnection.cpp
@@ -39,6 +39,8 @@
 constexpr std::size_t MaxDiscardedBytes = 1024 * 1024;
 // Beast reads no more at once than the buffer's free capacity. This holds most requests.
 constexpr std::size_t HeadBufferBytes = 4 * 1024;
+// A larger body is written in parts, so that a slow caller's progress is seen.
+constexpr std::size_t MaxWholeWriteBytes = 64 * 1024;
 // A caller that stops in the middle of a request, or takes nothing of its answer.
 constexpr Duration ProgressLimit = std::chrono::seconds{30};
 
@@ -193,6 +195,8 @@
   http::response<http::span_body<const char>> response{std::move(head)};
   response.body() = {body.data(), body.size()};
   response.prepare_payload();
+  if (body.size() > MaxWholeWriteBytes)
+    co_return co_await writeHead(std::move(response.base())) && co_await writePart(body, false);
   WriteExpiresAt = bootTimeNow() + ProgressLimit;
   const auto [ec, n] = co_await http::async_write(Socket, response, Completion);
   WriteExpiresAt = TimePoint::max();
@@ -213,14 +217,22 @@
 }
 
 asio::awaitable<bool> CallerConnection::writePart(std::string_view part, bool isChunked) {
+  // An empty chunk would end the body.
+  if (part.empty())
+    co_return true;
   const asio::const_buffer data{part.data(), part.size()};
-  WriteExpiresAt = bootTimeNow() + ProgressLimit;
+  // Called before each step of the write.
+  const auto atMost = [this](const boost::system::error_code &ec, std::size_t) {
+    WriteExpiresAt = bootTimeNow() + ProgressLimit;
+    return ec ? 0 : MaxWholeWriteBytes;
+  };
   boost::system::error_code result;
   if (isChunked) {
-    const auto [ec, n] = co_await asio::async_write(Socket, http::make_chunk(data), Completion);
+    const auto [ec, n] =
+        co_await asio::async_write(Socket, http::make_chunk(data), atMost, Completion);
     result = ec;
   } else {
-    const auto [ec, n] = co_await asio::async_write(Socket, data, Completion);
+    const auto [ec, n] = co_await asio::async_write(Socket, data, atMost, Completion);
     result = ec;
   }
   WriteExpiresAt = TimePoint::max();
--- a/Libraries/LibHttp/SocketOptions.cpp
+++ b/Libraries/LibHttp/SocketOptions.cpp
@@ -4,8 +4,11 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <linux/sockios.h>
+
 namespace wigeonlift {
 
 namespace {
@@ -16,6 +19,9 @@
 // Longer than a few retransmissions on a lossy path, shorter than the deadlines of most calls'
 // users.
 constexpr unsigned UserTimeoutMs = 10'000;
+// The kernel would take some MB for a peer that reads slowly, which the process's own bounds don't
+// count. What is on its way isn't limited, so peers that read fast get as much as before.
+constexpr int MaxUnsentBytes = 128 * 1024;
 
 template <typename Value> void setTcpOption(int fd, int option, Value value) {
   // A kernel that refuses an option leaves the connection usable, so the result is not checked.
@@ -41,6 +47,7 @@
   setTcpOption(fd, TCP_KEEPINTVL, KeepaliveIntervalSeconds);
   setTcpOption(fd, TCP_KEEPCNT, KeepaliveProbes);
   setTcpOption(fd, TCP_USER_TIMEOUT, UserTimeoutMs);
+  setTcpOption(fd, TCP_NOTSENT_LOWAT, MaxUnsentBytes);
 }
 
 bool isClosedByPeer(boost::asio::ip::tcp::socket &socket) {
@@ -52,4 +59,10 @@
   return peek(socket) >= 0 || !isWouldBlock(errno);
 }
 
+std::size_t unacknowledgedBytes(boost::asio::ip::tcp::socket &socket) {
+  int bytes = 0;
+  return ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 ? static_cast<std::size_t>(bytes)
+                                                                : 0;
+}
+
 } // namespace wigeonlift
--- a/Libraries/LibHttp/UpstreamConnection.cpp
+++ b/Libraries/LibHttp/UpstreamConnection.cpp
@@ -152,6 +152,10 @@
   return !Socket.is_open() || wigeonlift::hasPendingInput(Socket);
 }
 
+std::size_t UpstreamConnection::unacknowledgedBytes() {
+  return wigeonlift::unacknowledgedBytes(Socket);
+}
+
 void UpstreamConnection::close() {
   boost::system::error_code ec;
   Socket.close(ec);
--- a/Libraries/LibHttp/UpstreamConnection.h
+++ b/Libraries/LibHttp/UpstreamConnection.h
@@ -57,6 +57,9 @@
   std::optional<Duration> announcedIdleLimit() const;
   /// Whether an idle connection has anything to read, which makes it unusable.
   bool hasPendingInput();
+  /// Bytes that were written and that the upstream's kernel has not taken. It takes little more
+  /// than the upstream reads.
+  std::size_t unacknowledgedBytes();
   void close();
   bool isOpen() const;
 
--- a/Services/Gateway/AnswerWriter.cpp
+++ b/Services/Gateway/AnswerWriter.cpp
@@ -1,11 +1,10 @@
 #include "AnswerWriter.h"
 
-#include "ConnectionGuard.h"
+#include "AnswerReadAhead.h"
 
 #include <fmt/format.h>
 
 #include <utility>
-#include <vector>
 
 namespace wigeonlift {
 
@@ -14,7 +13,6 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
-constexpr std::size_t RelayBytes = 64 * 1024;
 constexpr int BadGateway = 502;
 constexpr int Unavailable = 503;
 constexpr int GatewayTimeout = 504;
@@ -56,26 +54,26 @@
   if (isChunked)
     open.Head.set(http::field::transfer_encoding, "chunked");
   setClose(open.Head, after);
+  const auto rest = std::make_shared<AnswerReadAhead>(co_await asio::this_coro::executor,
+                                                      open.Connection, Owner.heldAnswerMemory());
+  rest->start(pending.Request->Spec.Deadline + ProxiedRequest::LateAnswerSpan);
   bool isWritten = co_await Caller.writeHead(std::move(open.Head)) &&
                    co_await Caller.writePart(open.Begun.Bytes, isChunked);
-  const auto connection = open.Connection->share();
-  const TimePoint end = pending.Request->Spec.Deadline + ProxiedRequest::LateAnswerSpan;
-  const ConnectionGuard guard{co_await asio::this_coro::executor, connection, end - bootTimeNow()};
-  std::vector<char> buf(RelayBytes);
-  BodyPart part;
-  while (isWritten && !part.IsLast) {
-    part = co_await connection->readBody(buf);
-    if (part.IsBroken) {
-      // The connection ends before the announced end, so the answer can't look complete.
-      ++Owner.counts().BrokenAnswers;
-      co_return false;
-    }
-    isWritten = part.Size == 0 || co_await Caller.writePart({buf.data(), part.Size}, isChunked);
+  open.Begun = {};
+  while (isWritten) {
+    const auto part = co_await rest->next();
+    if (!part)
+      break;
+    isWritten = co_await Caller.writePart(*part, isChunked);
+  }
+  if (isWritten && rest->isBroken()) {
+    // The connection ends before the announced end, so the answer can't look complete.
+    ++Owner.counts().BrokenAnswers;
+    co_return false;
   }
   if (isWritten && isChunked)
     isWritten = co_await Caller.writeLastChunk();
-  if (isWritten)
-    open.Connection->giveBack();
+  rest->stop();
   co_return isWritten;
 }
 
--- a/Services/Gateway/Ports.cpp
+++ b/Services/Gateway/Ports.cpp
@@ -65,6 +65,8 @@
                static_cast<double>(task->balancer().queuedRequests()));
     text.gauge("wigeonlift_running", {{"service", service}},
                static_cast<double>(task->balancer().runningAttempts()));
+    text.gauge("wigeonlift_upstreams_reading_bodies", {{"service", service}},
+               static_cast<double>(task->balancer().upstreamsReadingBodies()));
     text.gauge("wigeonlift_upstreams", {{"service", service}},
                static_cast<double>(task->upstreams()));
   }
--- a/Services/Gateway/RequestIntake.cpp
+++ b/Services/Gateway/RequestIntake.cpp
@@ -151,7 +151,7 @@
 }
 
 asio::awaitable<bool> RequestIntake::receive(const Route &route, PendingRequest &pending) {
-  const RequestSpec spec = specFor(route);
+  RequestSpec spec = specFor(route);
   std::string callerAttempt{headerValue(Caller.head(), platform::AttemptIdHeader)};
   HttpRequestHead head = upstreamHead(Caller.head());
   std::string body;
@@ -161,6 +161,7 @@
     pending.Rejected = stoppingRejection();
   if (!isOpen || pending.Rejected)
     co_return isOpen;
+  spec.BodyBytes = body.size();
   pending.Request = std::make_shared<ProxiedRequest>(Owner.context().get_executor(), spec,
                                                      std::move(head), std::move(body));
   pending.Request->CallerAttempt = std::move(callerAttempt);
--- a/Services/Gateway/RequestLog.cpp
+++ b/Services/Gateway/RequestLog.cpp
@@ -58,6 +58,16 @@
              {"took_ms", ms(now - request.Spec.ArrivedAt)}});
 }
 
+void RequestLog::didReadBodySlowly(const ProxiedRequest &request, std::string_view upstream,
+                                   Duration took) {
+  Log.write(EventLog::Priority::Important, "body_read_slowly",
+            {{"id", request.CallerAttempt},
+             {"svc", request.Service},
+             {"up", std::string{upstream}},
+             {"bytes", fmt::format("{}", request.Body.size())},
+             {"took_ms", ms(took)}});
+}
+
 void RequestLog::didRefuse(const ProxiedRequest &request, const Failure &failure, int status,
                            TimePoint now) {
   Log.write(EventLog::Priority::Important, "refused",
--- a/Services/Gateway/RequestLog.h
+++ b/Services/Gateway/RequestLog.h
@@ -16,6 +16,8 @@
                TimePoint now);
   void didAnswer(const ProxiedRequest &request, std::string_view upstream, int status,
                  TimePoint now);
+  /// An upstream took that long to read the request's body.
+  void didReadBodySlowly(const ProxiedRequest &request, std::string_view upstream, Duration took);
   void didRefuse(const ProxiedRequest &request, const Failure &failure, int status, TimePoint now);
   void didLeave(const ProxiedRequest &request, TimePoint now);
   /// A request that is not passed on: no route or limit admits it, or this VM can't take it now.
--- a/Services/Gateway/ServiceTask.cpp
+++ b/Services/Gateway/ServiceTask.cpp
@@ -191,6 +191,12 @@
   execute(out);
 }
 
+void ServiceTask::bodyTaken(const KnownUpstream &upstream) {
+  BalanceCommands out;
+  Balancer.bodyTaken(upstream.Index, bootTimeNow(), out);
+  execute(out);
+}
+
 void ServiceTask::didReadHead(const KnownUpstream &upstream, const HttpResponseHead &head) {
   // An answer may arrive when the upstream has left already.
   if (!ByIndex.contains(upstream.Index))
--- a/Services/Gateway/ServiceTask.h
+++ b/Services/Gateway/ServiceTask.h
@@ -68,6 +68,8 @@
   bool maySend(const RunningAttempt &attempt);
   ResponseAction didAnswer(const RunningAttempt &attempt, const ResponseInfo &facts);
   void attemptFailed(const RunningAttempt &attempt, AttemptStage stage, std::string_view what);
+  /// The upstream has taken a large body, or its request has ended.
+  void bodyTaken(const KnownUpstream &upstream);
   /// The head of any response arrived that is certainly the upstream's own.
   void didReadHead(const KnownUpstream &upstream, const HttpResponseHead &head);
   void probeAnswered(ProbeId id, const LoadReport &report);
--- a/Services/Gateway/UpstreamExchange.cpp
+++ b/Services/Gateway/UpstreamExchange.cpp
@@ -1,5 +1,6 @@
 #include "UpstreamExchange.h"
 
+#include "BodyTransfer.h"
 #include "ConnectionGuard.h"
 
 #include <platform/Platform.h>
@@ -202,12 +203,14 @@
   const TimePoint now = bootTimeNow();
   const ConnectionGuard guard{co_await asio::this_coro::executor, connection,
                               request->Spec.Deadline - now + ProxiedRequest::LateAnswerSpan};
+  BodyTransfer transfer{co_await asio::this_coro::executor, service, *attempt};
   const HttpRequestHead head = headFor(*attempt, now);
   const bool isWritten = co_await connection->write(head, request->Body);
   if (attempt->IsAbandoned)
     co_return;
   if (!isWritten)
     co_return service->attemptFailed(*attempt, AttemptStage::Sent, "connection broke");
+  transfer.didWrite();
   co_await readAnswer(service, attempt);
 }
 
--- a/Tests/Gateway/GatewayFixture.cpp
+++ b/Tests/Gateway/GatewayFixture.cpp
@@ -28,11 +28,11 @@
     R"("health-check-path":"/hc","max-connections":200}],"limits":{"max-header-bytes":16384,)"
     R"("max-body-bytes":1000000,"header-timeout":"3s","idle-timeout":"15s"}})";
 
-GatewaySettings testSettings() {
+GatewaySettings testSettings(int memoryMb) {
   GatewaySettings settings;
   settings.Name = "gateway-1";
   settings.DataCentre = "a";
-  settings.MemoryMb = 8;
+  settings.MemoryMb = memoryMb;
   // Neither repeats nor probes are what these tests run out of.
   settings.Bounds.RepeatRatio = 100;
   settings.Bounds.ProbesPerUpstreamSecond = 100'000;
@@ -70,9 +70,9 @@
   return result;
 }
 
-GatewayFixture::GatewayFixture()
+GatewayFixture::GatewayFixture(int memoryMb)
     : Log(::open("/dev/null", O_WRONLY | O_CLOEXEC), "gateway-1"),
-      Core(Context, testSettings(), Log, Seed),
+      Core(Context, testSettings(memoryMb), Log, Seed),
       Callers(Context,
               [this](std::shared_ptr<CallerConnection> caller) -> boost::asio::awaitable<void> {
                 CallerSession session{Core, std::move(caller)};
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -27,6 +27,7 @@
   /// Requests other than health checks, as they arrived.
   std::vector<std::string> requests() const;
   int closedConnections() const { return Server.Closed; }
+  FakeUpstream &server() { return Server; }
 
   /// Further fields of all answers to health checks, each with its line end.
   std::string HealthFields;
@@ -46,7 +47,8 @@
 /// thread.
 class GatewayFixture : public testing::Test {
 protected:
-  GatewayFixture();
+  /// With a process that may use so much memory.
+  explicit GatewayFixture(int memoryMb = 8);
 
   /// Puts a configuration with the routes `/look/` (safe), `/record/` (unsafe), `/bulk/`
   /// (download) and `/brief/` (safe, its timeout shorter than its objective) of `h.example` in
--- /dev/null
+++ b/Tests/Gateway/TestSlowReaders.cpp
@@ -0,0 +1,150 @@
+#include "GatewayFixture.h"
+
+#include <platform/Platform.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace wigeonlift {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t Mib = 1024 * 1024;
+constexpr int KernelBufferBytes = 16 * 1024;
+
+std::string pattern(std::size_t size) {
+  std::string text(size, '\0');
+  for (std::size_t n = 0; n < size; ++n)
+    text[n] = static_cast<char>('a' + n / 1000 % 26);
+  return text;
+}
+
+class SlowReaders : public GatewayFixture {
+protected:
+  // A quarter of the memory, 40 MiB, is for answers.
+  SlowReaders() : GatewayFixture(160) {}
+
+  /// A caller that reads 4 KB a second.
+  std::shared_ptr<RawCaller> connectSlowCaller() {
+    auto caller = std::make_shared<RawCaller>(Context, Callers.port());
+    caller->limitUnread(KernelBufferBytes);
+    caller->ReadBytes = 400;
+    caller->Pause = 100ms;
+    caller->receiveAll();
+    return caller;
+  }
+};
+
+} // namespace
+
+// An upstream aborts an answer that stays unread for some seconds. Guards against leaving the rest
+// of a large answer at the upstream while the caller reads slowly, and against losing or reordering
+// parts that were read ahead. The kernel takes less than half of the answer.
+TEST_F(SlowReaders, ALargeAnswerIsReadAhead) {
+  const std::string body = pattern(16 * Mib);
+  PlatformUpstream upstream{
+      Context, "i-1", [&](const std::string &id) -> FakeReply { return {sealedAnswer(id, body)}; }};
+  configure({&upstream});
+  const std::size_t all = Core.heldAnswerMemory().room();
+  const auto caller = connectSlowCaller();
+  caller->send(callerRequest("GET", "/bulk/1", "attempt-1"));
+  runUntil([&] { return !upstream.requests().empty(); });
+  const int written = upstream.server().Written;
+  const auto begin = std::chrono::steady_clock::now();
+  runUntil([&] { return upstream.server().Written > written; });
+  EXPECT_LT(std::chrono::steady_clock::now() - begin, 2s);
+  EXPECT_LT(caller->body().size(), 64U * 1024);
+  EXPECT_LT(Core.heldAnswerMemory().room(), all);
+  caller->ReadBytes = 64 * 1024;
+  caller->Pause = 0ms;
+  runUntil([&] { return caller->hasAnswer(); });
+  EXPECT_TRUE(caller->body() == body);
+  runUntil([&] { return Core.heldAnswerMemory().room() == all; });
+}
+
+// Guards against slow callers that make the process hold more than its memory for answers, and
+// against memory that isn't given back when they leave.
+TEST_F(SlowReaders, AnswersThatAreReadAheadStayWithinTheMemory) {
+  const std::string body = pattern(24 * Mib);
+  const PlatformUpstream::Script script = [&](const std::string &id) -> FakeReply {
+    return {sealedAnswer(id, body)};
+  };
+  PlatformUpstream first{Context, "i-1", script};
+  PlatformUpstream second{Context, "i-2", script};
+  configure({&first, &second});
+  const std::size_t all = Core.heldAnswerMemory().room();
+  std::vector<std::shared_ptr<RawCaller>> callers;
+  for (int n = 0; n < 4; ++n) {
+    callers.push_back(connectSlowCaller());
+    callers.back()->send(callerRequest("GET", "/bulk/1", fmt::format("attempt-{}", n)));
+  }
+  std::size_t least = all;
+  const auto end = std::chrono::steady_clock::now() + 1500ms;
+  runUntil([&] {
+    least = std::min(least, Core.heldAnswerMemory().room());
+    return std::chrono::steady_clock::now() > end;
+  });
+  EXPECT_LT(least, all / 2);
+  // Some room is left, so that answers of other callers can be held until they are whole.
+  EXPECT_GT(least, 2 * Mib);
+  for (const auto &it : callers)
+    it->close();
+  runUntil([&] { return Callers.connections() == 0; });
+  runUntil([&] { return Core.heldAnswerMemory().room() == all; });
+}
+
+// An upstream reads a body slowly. Guards against giving it another large one, of which its memory
+// may not hold many, and against keeping small ones from it.
+TEST_F(SlowReaders, AnUpstreamGetsOneLargeBodyAtATime) {
+  const PlatformUpstream::Script script = [](const std::string &id) -> FakeReply {
+    return {sealedAnswer(id, "done")};
+  };
+  PlatformUpstream slow{Context, "i-1", script};
+  slow.server().limitUnread(KernelBufferBytes);
+  slow.server().BodyStepBytes = 400;
+  slow.server().BodyPause = 100ms;
+  configure({&slow});
+  const auto first = connect();
+  first->send(callerRequest("POST", "/record/1", "attempt-1", std::string(900'000, 'x')));
+  runUntil([&] { return slow.server().Reading == 1; });
+  const auto second = connect();
+  second->send(callerRequest("POST", "/record/1", "attempt-2", std::string(300'000, 'y')));
+  const auto small = ask(callerRequest("POST", "/record/1", "attempt-3", "small"));
+  EXPECT_EQ(statusOf(*small), 200);
+  runUntil([&] { return second->hasAnswer(); });
+  EXPECT_EQ(statusOf(*second), 503);
+  runUntil([&] { return first->hasAnswer(); });
+  EXPECT_EQ(statusOf(*first), 504);
+  // The connection with the first body has ended, so the upstream may get another one.
+  slow.server().BodyStepBytes = 0;
+  slow.server().BodyPause = 0ms;
+  const auto third =
+      ask(callerRequest("POST", "/record/1", "attempt-4", std::string(300'000, 'z')));
+  EXPECT_EQ(statusOf(*third), 200);
+}
+
+// Guards against keeping large bodies from upstreams that read them at once.
+TEST_F(SlowReaders, FastUpstreamsGetAllLargeBodies) {
+  PlatformUpstream upstream{Context, "i-1", [](const std::string &id) -> FakeReply {
+                              return {.Bytes = sealedAnswer(id, "done"), .Delay = 600ms};
+                            }};
+  configure({&upstream});
+  std::vector<std::shared_ptr<RawCaller>> callers;
+  for (int n = 0; n < 2; ++n) {
+    callers.push_back(connect());
+    callers.back()->send(callerRequest("POST", "/record/1", fmt::format("attempt-{}", n),
+                                       std::string(900'000, 'x')));
+  }
+  runUntil([&] { return upstream.requests().size() == 2; });
+  const auto hasAnswer = [](const auto &it) { return it->hasAnswer(); };
+  EXPECT_TRUE(std::ranges::none_of(callers, hasAnswer));
+  runUntil([&] { return std::ranges::all_of(callers, hasAnswer); });
+  for (const auto &it : callers)
+    EXPECT_EQ(statusOf(*it), 200);
+}
+
+} // namespace wigeonlift
--- a/Tests/LibBalance/TestChoice.cpp
+++ b/Tests/LibBalance/TestChoice.cpp
@@ -275,4 +275,28 @@
   EXPECT_GE(it.firstSendOf(id).Upstream.Value, 3U);
 }
 
+// Upstreams that hold several large bodies may run out of memory. Guards against sending one a
+// second body before it has read the first, and against keeping other requests from it.
+TEST(Choice, UpstreamsReadOneLargeBodyAtATime) {
+  Harness it{1};
+  it.learnWorkTime();
+  RequestSpec large = it.spec(CallClass::NonIdempotent);
+  large.BodyBytes = RequestSpec::MaxSmallBodyBytes + 1;
+  ASSERT_EQ(it.sendsOf(it.arrive(large)).size(), 1U);
+  large.Id = CallId{1001};
+  const CallId waiting = it.arrive(large);
+  EXPECT_TRUE(it.sendsOf(waiting).empty());
+  RequestSpec small = it.spec(CallClass::NonIdempotent);
+  small.BodyBytes = RequestSpec::MaxSmallBodyBytes;
+  const CallId other = it.arrive(small);
+  ASSERT_EQ(it.sendsOf(other).size(), 1U);
+  it.respond(it.firstSendOf(other), ResponseKind::Success);
+  EXPECT_TRUE(it.sendsOf(waiting).empty());
+  BalanceCommands out;
+  it.Balancer.bodyTaken(it.index(0), it.Now, out);
+  it.handle(out);
+  it.advance(std::chrono::milliseconds{50});
+  EXPECT_EQ(it.sendsOf(waiting).size(), 1U);
+}
+
 } // namespace wigeonlift
--- a/Tests/Support/FakeUpstream.cpp
+++ b/Tests/Support/FakeUpstream.cpp
@@ -12,6 +12,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace wigeonlift {
@@ -53,6 +54,21 @@
   }
 }
 
+asio::awaitable<bool> FakeUpstream::readBody(asio::ip::tcp::socket &socket, std::string &buf,
+                                             std::size_t size) {
+  while (size > buf.size()) {
+    const std::size_t missing = size - buf.size();
+    const std::size_t step = BodyStepBytes == 0 ? missing : std::min(missing, BodyStepBytes);
+    if (BodyPause.count() > 0)
+      co_await asio::steady_timer{socket.get_executor(), BodyPause}.async_wait(Completion);
+    const auto [ec, n] = co_await asio::async_read(socket, asio::dynamic_buffer(buf),
+                                                   asio::transfer_exactly(step), Completion);
+    if (ec)
+      co_return false;
+  }
+  co_return true;
+}
+
 asio::awaitable<void> FakeUpstream::serve(asio::ip::tcp::socket socket) {
   std::string buf;
   while (true) {
@@ -62,10 +78,10 @@
       break;
     const std::size_t size = n + bodyLength(buf);
     if (size > buf.size()) {
-      const std::size_t missing = size - buf.size();
-      const auto [bodyEc, read] = co_await asio::async_read(
-          socket, asio::dynamic_buffer(buf), asio::transfer_exactly(missing), Completion);
-      if (bodyEc)
+      ++Reading;
+      const bool isWhole = co_await readBody(socket, buf, size);
+      --Reading;
+      if (!isWhole)
         break;
     }
     Requests.push_back(std::exchange(buf, {}));
--- a/Tests/Support/RawCaller.cpp
+++ b/Tests/Support/RawCaller.cpp
@@ -5,9 +5,11 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace wigeonlift {
@@ -50,8 +52,11 @@
   const auto self = shared_from_this();
   std::array<char, 64 * 1024> buf{};
   while (!IsClosed) {
-    const auto [ec, n] =
-        co_await Socket.async_read_some(asio::buffer(buf), asio::as_tuple(asio::use_awaitable));
+    if (Pause.count() > 0)
+      co_await asio::steady_timer{Socket.get_executor(), Pause}.async_wait(
+          asio::as_tuple(asio::use_awaitable));
+    const auto [ec, n] = co_await Socket.async_read_some(
+        asio::buffer(buf, std::min(buf.size(), ReadBytes)), asio::as_tuple(asio::use_awaitable));
     Received.append(buf.data(), n);
     IsClosed = static_cast<bool>(ec);
   }
--- a/Tests/Support/RawCaller.h
+++ b/Tests/Support/RawCaller.h
@@ -4,6 +4,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -16,6 +18,10 @@
 public:
   RawCaller(boost::asio::io_context &context, std::uint16_t port);
 
+  /// Sets the size of the kernel's buffer for what was not read.
+  void limitUnread(int bytes) {
+    Socket.set_option(boost::asio::socket_base::receive_buffer_size{bytes});
+  }
   /// Begins to read; until then the kernel's buffers fill up.
   void receiveAll();
 
@@ -29,6 +35,10 @@
   bool hasAnswer() const;
   std::string body() const;
 
+  /// Most bytes that are read at a time, and the time between two reads.
+  std::size_t ReadBytes = std::size_t{64} * 1024;
+  std::chrono::milliseconds Pause{};
+
   std::string Received;
   bool IsClosed = false;
 
