LibHttp: Test slow progress and answers in chunks without memory

Cause: the limit on progress of held answers, and the empty first chunk, had no tests.

Change: two tests; the kernel holds at most 64 KiB for a slow peer, so that one that takes 2 KB a second makes progress within the limit of 30 s.

Result: without the parts for large answers, the caller of ProgressKeepsASlowCaller is closed; without the check for an empty part, the answer of AChunkedAnswerIsPassedOnWithoutMemory arrives empty and looks complete.

--- a/Libraries/LibHttp/SocketOptions.cpp
+++ b/Libraries/LibHttp/SocketOptions.cpp
@@ -20,8 +20,10 @@
 // users.
 constexpr unsigned UserTimeoutMs = 10'000;
 // The kernel would take some MB for a peer that reads slowly, which the process's own bounds don't
-// count. What is on its way isn't limited, so peers that read fast get as much as before.
-constexpr int MaxUnsentBytes = 128 * 1024;
+// count. What is on its way isn't limited, so peers that read fast get as much as before: this
+// covers 50 ms without processor time on a link of 10 Mbit/s. The kernel takes more when half of it
+// was sent; a peer that reads 2 KB a second needs 16 s for that, less than the limits on progress.
+constexpr int MaxUnsentBytes = 64 * 1024;
 
 template <typename Value> void setTcpOption(int fd, int option, Value value) {
   // A kernel that refuses an option leaves the connection usable, so the result is not checked.
--- a/Tests/Gateway/TestSlowReaders.cpp
+++ b/Tests/Gateway/TestSlowReaders.cpp
@@ -97,6 +97,45 @@
   runUntil([&] { return Core.heldAnswerMemory().room() == all; });
 }
 
+// Guards against closing the connection of a caller that takes a held answer slowly, but steadily,
+// 30 s after its begin. Checks as if 30 s had passed since then.
+TEST_F(SlowReaders, ProgressKeepsASlowCaller) {
+  PlatformUpstream upstream{Context, "i-1", [](const std::string &id) -> FakeReply {
+                              return {sealedAnswer(id, pattern(Mib))};
+                            }};
+  configure({&upstream});
+  const auto caller = connectSlowCaller();
+  caller->ReadBytes = 16 * 1024;
+  caller->send(callerRequest("GET", "/look/1", "attempt-1"));
+  runUntil([&] { return !caller->Received.empty(); });
+  const TimePoint begin = bootTimeNow();
+  runUntil([&] { return bootTimeNow() > begin + 2s; });
+  Callers.closeExpired(begin + 30s);
+  runUntil([&] { return bootTimeNow() > begin + 2200ms; });
+  EXPECT_EQ(Callers.connections(), 1U);
+  Callers.closeExpired(bootTimeNow() + 31s);
+  runUntil([&] { return Callers.connections() == 0; });
+}
+
+// Guards against an answer in chunks that ends at its begin because there is no memory to hold any
+// of it: an empty chunk is the last one.
+TEST_F(SlowReaders, AChunkedAnswerIsPassedOnWithoutMemory) {
+  const std::string body = pattern(2000);
+  PlatformUpstream upstream{
+      Context, "i-1", [&](const std::string &id) -> FakeReply {
+        return {fmt::format("HTTP/1.1 200 OK\r\n{}: {}\r\n{}: seal\r\nTransfer-Encoding: chunked"
+                            "\r\n\r\n{:x}\r\n{}\r\n0\r\n\r\n",
+                            platform::AttemptIdHeader, id, platform::SealHeader, body.size(),
+                            body)};
+      }};
+  configure({&upstream});
+  const auto all = Core.heldAnswerMemory().reserve(Core.heldAnswerMemory().room());
+  const auto caller = connect();
+  caller->send(callerRequest("GET", "/bulk/1", "attempt-1"));
+  runUntil([&] { return caller->Received.ends_with("0\r\n\r\n"); });
+  EXPECT_TRUE(caller->body().starts_with("7d0\r\n" + body));
+}
+
 // An upstream reads a body slowly. Guards against giving it another large one, of which its memory
 // may not hold many, and against keeping small ones from it.
 TEST_F(SlowReaders, AnUpstreamGetsOneLargeBodyAtATime) {
