--- a/Libraries/LibBalance/Attempts.cpp
+++ b/Libraries/LibBalance/Attempts.cpp
@@ -86,12 +86,15 @@
   // An upstream that was removed, or has said that it wants no more requests, after it was chosen
   // gets none.
   const UpstreamIndex upstream = it->second.Upstream;
-  const bool isUnavailable = !findUpstream(upstream) || !takeRoom(it->second, now);
+  const bool isUnavailable =
+      !findUpstream(upstream) || mustAwaitBody(upstream, request) || !takeRoom(it->second, now);
   if (isUnavailable || (it->second.IsExtraAttempt && !RetryLimiter.take(now))) {
     withdrawAttempt(id, isUnavailable, now, out);
     dispatchQueue(now, out);
     return false;
   }
+  if (request.Spec.BodyBytes > RequestSpec::MaxSmallBodyBytes)
+    ReadingBodies.insert(upstream);
   it->second.IsSent = true;
   Counts.SentToCold += Limits.isCold(upstream, now) ? 1 : 0;
   ++request.PossibleExecutions;
@@ -181,6 +184,11 @@
   dispatchQueue(now, out);
 }
 
+void ServiceBalancer::bodyTaken(UpstreamIndex upstream, TimePoint now, BalanceCommands &out) {
+  ReadingBodies.erase(upstream);
+  dispatchQueue(now, out);
+}
+
 void ServiceBalancer::removeAttempt(AttemptId id) {
   const auto it = Attempts.find(id);
   if (it == Attempts.end())
--- a/Services/Gateway/ServiceTask.cpp
+++ b/Services/Gateway/ServiceTask.cpp
@@ -256,6 +256,12 @@
   execute(out);
 }
 
+void ServiceTask::bodyTaken(const KnownUpstream &upstream) {
+  BalanceCommands out;
+  Balancer.bodyTaken(upstream.Index, bootTimeNow(), out);
+  execute(out);
+}
+
 void ServiceTask::didReadHead(const KnownUpstream &upstream, const HttpResponseHead &head) {
   didNotice(upstream, platform::parseUpstreamNotice(head));
 }
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -28,6 +28,7 @@
   /// Requests other than health checks, as they arrived.
   std::vector<std::string> requests() const;
   int closedConnections() const { return Server.Closed; }
+  FakeUpstream &server() { return Server; }
 
   /// Data centre that the upstream's entry in the store names.
   std::string DataCentre = "a";
@@ -49,7 +50,8 @@
 /// thread.
 class GatewayFixture : public testing::Test {
 protected:
-  GatewayFixture();
+  /// With a process that may use so much memory.
+  explicit GatewayFixture(int memoryMb = 8);
 
   /// Puts a configuration with the routes `/look/` (safe), `/record/` (unsafe), `/bulk/`
   /// (download) and `/brief/` (safe, its timeout shorter than its objective) of `h.example` in
