LibDiscovery, LibFleet, platform: Order copies of the store by era

A store that is restored from an older copy loses acknowledged changes and assigns their revisions again. VMs kept the old replica, merged changes of both histories, and used upstreams again whose departure was lost.

StoreRevision becomes a type with an era and a number. The era comes from the header Store-Era and is carried by messages between VMs. Only a complete copy of a later era crosses it; answers and messages of another era prove nothing. UpstreamList compares the entries of a restored copy with what it knows: removed and draining upstreams stay so until an entry shows a later write, and upstreams that the copy lacks get LeaseRenewalTime to register. The restore is logged (store_restored) and shown (wigeonlift_store_era).

Without the header all revisions are of era 0: their text, their messages and their order stay the same. Two lines of TestStoreSyncPolicy added 1 to a revision, which the type doesn't allow; they name the same revision.

--- a/Libraries/LibDiscovery/LibDiscovery.h
+++ b/Libraries/LibDiscovery/LibDiscovery.h
@@ -4,5 +4,6 @@
 #include <LibDiscovery/LeavingUpstreams.h>
 #include <LibDiscovery/ReplicaFreshness.h>
 #include <LibDiscovery/StoreReplica.h>
+#include <LibDiscovery/StoreRevision.h>
 #include <LibDiscovery/StoreSyncPolicy.h>
 #include <LibDiscovery/UpstreamList.h>
--- a/Libraries/LibDiscovery/StoreReplica.cpp
+++ b/Libraries/LibDiscovery/StoreReplica.cpp
@@ -15,6 +15,11 @@
 } // namespace
 
 std::vector<StoreItem> StoreReplica::apply(const StoreDelta &delta, TimePoint now) {
+  if (delta.AsOf.Era < AsOf.Era)
+    return {};
+  // Changes after a revision of a later era don't tell what the store lost when it was restored.
+  if (delta.AsOf.Era > AsOf.Era)
+    return delta.IsComplete ? replaceBy(delta) : std::vector<StoreItem>{};
   std::vector<StoreItem> changes;
   const auto remove = [&](const std::string &key, StoreRevision revision) {
     Items.erase(key);
@@ -27,7 +32,7 @@
     const auto removed = RemovalRevisions.find(it.Key);
     const StoreRevision knownRevision = current != Items.end() ? current->second.Revision
                                         : removed != RemovalRevisions.end() ? removed->second
-                                                                            : 0;
+                                                                            : StoreRevision{};
     if (it.Revision <= knownRevision)
       continue;
     // The replica has all keys that existed at its revision. A key that it lacks was removed after
@@ -62,9 +67,34 @@
   return changes;
 }
 
+std::vector<StoreItem> StoreReplica::replaceBy(const StoreDelta &copy) {
+  std::vector<StoreItem> changes;
+  const auto previous = std::exchange(Items, {});
+  for (const StoreItem &it : copy.Items) {
+    if (it.IsRemoved)
+      continue;
+    Items.insert_or_assign(it.Key, it);
+    const auto known = previous.find(it.Key);
+    if (known == previous.end() || known->second.Value != it.Value)
+      changes.push_back(it);
+  }
+  for (const auto &[key, item] : previous)
+    if (!Items.contains(key))
+      changes.push_back({.Key = key, .Value = {}, .Revision = copy.AsOf, .IsRemoved = true});
+  // Removals of the earlier era are part of the difference between the copies.
+  RemovalRevisions.clear();
+  Removals.clear();
+  RemovalsIncompleteUpTo = copy.AsOf;
+  AsOf = copy.AsOf;
+  std::ranges::stable_sort(changes, {}, &StoreItem::Revision);
+  return changes;
+}
+
 StoreDelta StoreReplica::changesSince(StoreRevision revision) const {
-  StoreDelta delta{
-      .Items = {}, .IsComplete = revision < RemovalsIncompleteUpTo || revision == 0, .AsOf = AsOf};
+  StoreDelta delta{.Items = {},
+                   .IsComplete = revision < RemovalsIncompleteUpTo || revision == 0 ||
+                                 revision.Era < AsOf.Era,
+                   .AsOf = AsOf};
   for (const auto &[key, item] : Items)
     if (delta.IsComplete || item.Revision > revision)
       delta.Items.push_back(item);
--- a/Libraries/LibDiscovery/StoreReplica.h
+++ b/Libraries/LibDiscovery/StoreReplica.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBase/LibBase.h>
+#include <LibDiscovery/StoreRevision.h>
 
 #include <cstdint>
 #include <deque>
@@ -13,9 +14,6 @@
 
 namespace wigeonlift {
 
-/// Version number of the configuration store. Each change increases it.
-using StoreRevision = std::uint64_t;
-
 /// A write or a removal of a key.
 struct StoreItem {
   std::string Key;
@@ -38,12 +36,16 @@
 
 /// A local copy of the store's keys. Reads and watches of the store and copies from peers update it
 /// in any order: a change with an older revision never replaces a newer one of the same key.
+///
+/// Only a complete copy of a later era replaces the replica, whatever the revisions of its keys.
+/// Changes of another era than the replica's have no effect.
 class StoreReplica {
 public:
-  /// Merges a delta. Returns the items that changed, including removals, sorted by revision.
+  /// Merges a delta. Returns the items that changed, including removals, sorted by revision. For a
+  /// copy of a later era these are the keys whose value differs, and those that are missing.
   std::vector<StoreItem> apply(const StoreDelta &delta, TimePoint now);
   /// Returns the changes after a revision, to be sent to a peer. Returns a complete copy if the
-  /// revision is 0 or if the removals since that revision aren't all known.
+  /// revision is 0 or of an earlier era, or if the removals since that revision aren't all known.
   StoreDelta changesSince(StoreRevision revision) const;
   StoreRevision revision() const { return AsOf; }
   bool isEmpty() const { return AsOf == 0; }
@@ -52,6 +54,8 @@
   const std::map<std::string, StoreItem, std::less<>> &items() const { return Items; }
 
 private:
+  /// Replaces all keys by those of a complete copy of a later era.
+  std::vector<StoreItem> replaceBy(const StoreDelta &copy);
   /// Drops the removals that were received longer ago than the retention time.
   void dropOldRemovals(TimePoint now);
 
--- a/Libraries/LibDiscovery/StoreSyncPolicy.h
+++ b/Libraries/LibDiscovery/StoreSyncPolicy.h
@@ -28,7 +28,7 @@
                       ///< connection.
   TimedOut,           ///< No answer within the call's time limit.
   HistoryUnavailable, ///< The store answers, but no longer keeps the changes after the requested
-                      ///< revision.
+                      ///< revision, or was restored and is in a later era.
 };
 
 /// Decides which call to the store comes next, and whether the VM counts as disconnected from the
@@ -39,7 +39,7 @@
 /// history. The store answers a request for its revision at once. A VM that becomes the reader, or
 /// whose watch was interrupted or timed out, makes this request first, and reads all keys if the
 /// replica is behind. It reads all keys without this request if the store reports that it no longer
-/// keeps the history.
+/// keeps the history, or that it is in a later era than the replica.
 ///
 /// A VM that isn't the reader makes the same request when its replica has become too old, whatever
 /// the reason, because the reader may be silent and other VMs may not know a change either.
--- a/Libraries/LibDiscovery/UpstreamList.cpp
+++ b/Libraries/LibDiscovery/UpstreamList.cpp
@@ -12,6 +12,16 @@
 constexpr Duration PossibleExpiryGrace = std::chrono::milliseconds{400};
 // A request that was assigned at the end of a grace period reaches the upstream within this time.
 constexpr Duration DispatchTime = std::chrono::milliseconds{200};
+// How long removed incarnations are remembered. The copy from which a store is restored is some
+// seconds old, and what was lost is written again within seconds.
+constexpr Duration RemovedRetention = std::chrono::seconds{60};
+
+/// Whether an entry of a restored store was written after a known entry of the same id.
+bool wasWrittenSince(const UpstreamRecord &record, const UpstreamRecord &known) {
+  if (record.isSameIncarnation(known))
+    return record.WriteCount > known.WriteCount;
+  return record.StartedAtMs >= known.StartedAtMs;
+}
 
 } // namespace
 
@@ -27,12 +37,52 @@
   if (record.StartedAtMs < previous.StartedAtMs)
     return false;
   PendingRemovals.erase(record.Id);
+  // The latest write that is known counts, also if the store has lost it.
+  if (record.isSameIncarnation(previous))
+    record.WriteCount = std::max(record.WriteCount, previous.WriteCount);
+  previous.WriteCount = record.WriteCount;
   previous.Warmup = record.Warmup;
   const bool hasChanged = previous != record;
   it->second = std::move(record);
   return hasChanged;
 }
 
+bool UpstreamList::didRestore(UpstreamRecord record, TimePoint now) {
+  const auto it = Upstreams.find(record.Id);
+  if (it == Upstreams.end()) {
+    const auto removed = Removed.find(record.Id);
+    const bool staysRemoved = removed != Removed.end() &&
+                              now - removed->second.RemovedAt <= RemovedRetention &&
+                              !wasWrittenSince(record, removed->second.Record);
+    return !staysRemoved && didWrite(std::move(record), now);
+  }
+  if (wasWrittenSince(record, it->second))
+    return didWrite(std::move(record), now);
+  const auto pending = PendingRemovals.find(record.Id);
+  const bool wasRemoved =
+      pending != PendingRemovals.end() && pending->second.Kind != RemovalKind::StoreRestored;
+  if (wasRemoved || it->second.IsDraining)
+    return false;
+  if (record.isSameIncarnation(it->second))
+    return didWrite(std::move(record), now);
+  // The copy has only the entry of an earlier process, not that of the one in use.
+  return didRemove(record.Id, {.Kind = RemovalKind::StoreRestored, .EarliestAt = now}, now);
+}
+
+void UpstreamList::didRestoreStore(TimePoint now) {
+  for (auto &[id, pending] : PendingRemovals)
+    if (pending.Kind == RemovalKind::StoreRestored)
+      pending.DueAt = now + LeaseRenewalTime;
+}
+
+void UpstreamList::erase(std::string_view id, TimePoint now) {
+  std::erase_if(Removed,
+                [&](const auto &it) { return now - it.second.RemovedAt > RemovedRetention; });
+  const auto it = Upstreams.find(id);
+  Removed.insert_or_assign(it->first, RemovedUpstream{.Record = it->second, .RemovedAt = now});
+  Upstreams.erase(it);
+}
+
 TimePoint UpstreamList::graceEnd(const EntryRemoval &removal, TimePoint now) const {
   const TimePoint drained = removal.EarliestAt + Bounds.DrainTimeout - DispatchTime;
   // Nobody sees when the store returns. It may have been right after it was last known to be down,
@@ -47,6 +97,8 @@
     return std::min(now + PossibleExpiryGrace, drained);
   case RemovalKind::ProbableLeaseExpiry:
     return std::min(now + LeaseRenewalTime, std::max(drained, settled));
+  case RemovalKind::StoreRestored:
+    return now + LeaseRenewalTime;
   }
   return now;
 }
@@ -57,28 +109,30 @@
     return false;
   const TimePoint end = graceEnd(removal, now);
   if (end > now && !it->second.IsDraining) {
-    PendingRemovals.emplace(it->first, end);
+    PendingRemovals.emplace(it->first, PendingRemoval{.DueAt = end, .Kind = removal.Kind});
     return false;
   }
   PendingRemovals.erase(it->first);
-  Upstreams.erase(it);
+  erase(id, now);
   return true;
 }
 
 bool UpstreamList::applyDueRemovals(TimePoint now) {
-  const auto isDue = [&](const auto &it) { return now >= it.second; };
+  const auto isDue = [&](const auto &it) { return now >= it.second.DueAt; };
   bool hasChanged = false;
   for (const auto &it : PendingRemovals)
-    if (isDue(it))
-      hasChanged |= Upstreams.erase(it.first) > 0;
+    if (isDue(it)) {
+      erase(it.first, now);
+      hasChanged = true;
+    }
   std::erase_if(PendingRemovals, isDue);
   return hasChanged;
 }
 
 std::optional<TimePoint> UpstreamList::nextRemovalDue() const {
   std::optional<TimePoint> earliest;
-  for (const auto &[id, dueAt] : PendingRemovals)
-    earliest = std::min(earliest.value_or(dueAt), dueAt);
+  for (const auto &[id, pending] : PendingRemovals)
+    earliest = std::min(earliest.value_or(pending.DueAt), pending.DueAt);
   return earliest;
 }
 
--- a/Libraries/LibDiscovery/UpstreamList.h
+++ b/Libraries/LibDiscovery/UpstreamList.h
@@ -25,6 +25,9 @@
   /// Capacity that the upstream reports: how many requests it processes at the same time.
   int Slots = 1;
   bool IsDraining = false;
+  /// How often the process has written its entry. Tells which of two entries of one incarnation is
+  /// the later one if the store was restored. 0 on platforms that don't count.
+  std::uint64_t WriteCount = 0;
   /// Remaining warm-up time, in which the upstream is slow after its start.
   Duration Warmup{};
 
@@ -44,6 +47,9 @@
   PossibleLeaseExpiry,
   /// No VM reached the store, so the lease has probably expired without the upstream leaving.
   ProbableLeaseExpiry,
+  /// The store was restored from an older copy without the entry. The upstream writes it again if
+  /// it is still there.
+  StoreRestored,
 };
 
 /// What a VM knows about the removal of entries.
@@ -70,6 +76,10 @@
 /// weren't draining and whose leases may have expired because the store was unreachable: they leave
 /// the list if they don't register again within a grace period. Each grace period ends early enough
 /// for the drain timeout, counted from the earliest time at which the upstream may have left.
+///
+/// A store that is restored from an older copy has lost removals and changes of state. They stay in
+/// force until an entry shows that it was written since. Upstreams in use that the copy lacks leave
+/// the list if they don't register again within `LeaseRenewalTime`.
 class UpstreamList {
 public:
   explicit UpstreamList(const RemovalBounds &bounds) : Bounds(bounds) {}
@@ -77,6 +87,12 @@
   /// An entry was written. Returns whether the list changed in anything but the remaining warm-up
   /// time. An entry of an earlier process than the listed one is ignored.
   bool didWrite(UpstreamRecord record, TimePoint now);
+  /// An entry is part of a copy of the store that was restored. Returns whether the list changed as
+  /// for `didWrite`.
+  bool didRestore(UpstreamRecord record, TimePoint now);
+  /// The store was restored. To be called before the entries of its copy are applied: upstreams
+  /// that an earlier restore lost may have registered again in vain, so they get more time.
+  void didRestoreStore(TimePoint now);
   /// An entry was removed or became unreadable. Returns whether the upstream left the list.
   bool didRemove(std::string_view id, const EntryRemoval &removal, TimePoint now);
   /// Removes upstreams whose grace period is over. Returns whether any was removed.
@@ -89,12 +105,25 @@
   std::vector<UpstreamRecord> usable(std::string_view service) const;
 
 private:
+  struct PendingRemoval {
+    TimePoint DueAt;
+    RemovalKind Kind = RemovalKind::Final;
+  };
+  struct RemovedUpstream {
+    UpstreamRecord Record;
+    TimePoint RemovedAt;
+  };
+
+  /// Removes an upstream from the list and remembers its incarnation.
+  void erase(std::string_view id, TimePoint now);
   TimePoint graceEnd(const EntryRemoval &removal, TimePoint now) const;
 
   RemovalBounds Bounds;
   std::map<std::string, UpstreamRecord, std::less<>> Upstreams;
-  /// Ids of the upstreams that are in a grace period, and when it ends.
-  std::map<std::string, TimePoint, std::less<>> PendingRemovals;
+  /// By id, the grace periods of upstreams whose entries were removed.
+  std::map<std::string, PendingRemoval, std::less<>> PendingRemovals;
+  /// By id, the incarnations that were removed within the retention time.
+  std::map<std::string, RemovedUpstream, std::less<>> Removed;
 };
 
 } // namespace wigeonlift
--- a/Libraries/LibFleet/FleetCodec.cpp
+++ b/Libraries/LibFleet/FleetCodec.cpp
@@ -20,7 +20,8 @@
                 (vm.IsStoreDisconnected ? StoreDisconnectedFlag : 0U));
   out.set_weight(vm.Weight);
   out.set_data_centre_weight(vm.DataCentreWeight);
-  out.set_revision(vm.Revision);
+  out.set_revision(vm.Revision.Number);
+  out.set_era(vm.Revision.Era);
 }
 
 FleetVm decode(const fleetwire::Vm &in) {
@@ -33,7 +34,7 @@
           .IsStoreDisconnected = (in.flags() & StoreDisconnectedFlag) != 0,
           .Weight = in.weight(),
           .DataCentreWeight = in.data_centre_weight(),
-          .Revision = in.revision()};
+          .Revision = {in.era(), in.revision()}};
 }
 
 AnswerWanted decodeWanted(std::uint32_t wanted) {
@@ -54,23 +55,25 @@
 
 void encode(const StoreDelta &delta, StoreRevision deltaAfter, fleetwire::Delta &out) {
   out.set_complete(delta.IsComplete);
-  out.set_after(deltaAfter);
-  out.set_as_of(delta.AsOf);
+  // A delta that was wanted by a VM of another era is a complete copy.
+  out.set_after(deltaAfter.Era == delta.AsOf.Era ? deltaAfter.Number : 0);
+  out.set_as_of(delta.AsOf.Number);
+  out.set_era(delta.AsOf.Era);
   for (const StoreItem &it : delta.Items) {
     auto &item = *out.add_items();
     item.set_key(it.Key);
     item.set_value(it.Value);
-    item.set_revision(it.Revision);
+    item.set_revision(it.Revision.Number);
     item.set_removed(it.IsRemoved);
   }
 }
 
 StoreDelta decode(const fleetwire::Delta &in) {
-  StoreDelta delta{.Items = {}, .IsComplete = in.complete(), .AsOf = in.as_of()};
+  StoreDelta delta{.Items = {}, .IsComplete = in.complete(), .AsOf = {in.era(), in.as_of()}};
   for (const auto &it : in.items())
     delta.Items.push_back({.Key = it.key(),
                            .Value = it.value(),
-                           .Revision = it.revision(),
+                           .Revision = {in.era(), it.revision()},
                            .IsRemoved = it.removed()});
   return delta;
 }
@@ -119,7 +122,7 @@
                        .Others = {},
                        .Wanted = decodeWanted(in.wanted()),
                        .Delta = {},
-                       .DeltaAfter = in.delta().after()};
+                       .DeltaAfter = {in.delta().era(), in.delta().after()}};
   for (const auto &it : in.others())
     message.Others.push_back(decode(it));
   message.ReplicaConfirmedAt = decode(in.times(), in.times().replica_confirmed_at_ms());
--- a/Libraries/LibFleet/FleetReplica.cpp
+++ b/Libraries/LibFleet/FleetReplica.cpp
@@ -31,7 +31,9 @@
 } // namespace
 
 EntryRemoval ReplicaUpdate::removals() const {
-  return {.Kind = removalKindDuring(Outage), .EarliestAt = ChangesFrom, .StoreDownAt = StoreDownAt};
+  return {.Kind = IsRestored ? RemovalKind::StoreRestored : removalKindDuring(Outage),
+          .EarliestAt = ChangesFrom,
+          .StoreDownAt = StoreDownAt};
 }
 
 ReplicaUpdate FleetReplica::tick(TimePoint now) {
@@ -55,6 +57,7 @@
     return;
   IsInUse = isUsable(now);
   update.Changes.clear();
+  update.IsRestored = false;
   if (!IsInUse)
     return;
   update.Changes = Replica.changesSince(0).Items;
@@ -71,7 +74,9 @@
   // The messages that pass changes on contain the new age.
   const bool hasChanges = isNext(message);
   const StoreRevision revision = hasChanges ? message.Delta->AsOf : Replica.revision();
-  if (message.Sender.Revision <= revision)
+  // Confirmations of an earlier era are of a time before the store was restored, so they prove
+  // nothing new about a copy that was read after that.
+  if (message.Sender.Revision.Era == revision.Era && message.Sender.Revision <= revision)
     didReceiveConfirmation(message, now, update);
   if (hasChanges)
     apply(*message.Delta, message.DeltaAfter, scopeOfChangesFrom(message.Sender.Ip),
@@ -81,8 +86,11 @@
 }
 
 bool FleetReplica::isNext(const FleetMessage &message) const {
-  return message.Delta && Replica.revision() >= message.DeltaAfter &&
-         message.Delta->AsOf > Replica.revision();
+  if (!message.Delta || message.Delta->AsOf <= Replica.revision())
+    return false;
+  if (message.Delta->AsOf.Era != Replica.revision().Era)
+    return message.Delta->IsComplete;
+  return Replica.revision() >= message.DeltaAfter;
 }
 
 void FleetReplica::addMissingChanges(const FleetVm &asker, std::vector<FleetDatagram> &answers) {
@@ -183,7 +191,10 @@
                          std::optional<TimePoint> storeDownAt, TimePoint now,
                          ReplicaUpdate &update) {
   const StoreRevision before = Replica.revision();
+  const bool wasEmpty = Replica.isEmpty();
   update.Changes = Replica.apply(delta, now);
+  update.RevisionBefore = before;
+  update.IsRestored = !wasEmpty && Replica.revision().Era > before.Era;
   update.Outage = Members.storeOutage(Freshness.limits().MaxStoreSilence, now);
   // If the store has confirmed the replica meanwhile, a call that failed tells of one VM's link.
   const bool isStale = now - update.ChangesFrom > Freshness.limits().MaxAgeLimit;
--- a/Libraries/LibFleet/FleetReplica.h
+++ b/Libraries/LibFleet/FleetReplica.h
@@ -21,6 +21,11 @@
   /// When the store was last unreachable for the VM that read the changes from it. Empty if it has
   /// answered some VM since.
   std::optional<TimePoint> StoreDownAt{};
+  /// Whether the changes are those between the replica that was in use and a copy of a later era:
+  /// the store was restored and has lost changes. Removals may then be entries that it has lost.
+  bool IsRestored = false;
+  /// Revision of the replica before the changes.
+  StoreRevision RevisionBefore{};
 
   /// What is known of the removals among the changes.
   EntryRemoval removals() const;
@@ -88,6 +93,7 @@
   void askLeadReader(ReplicaUpdate &update, TimePoint now);
   void announce(ReplicaUpdate &update, bool isFromLeadReader, TimePoint now);
   /// Whether a message contains changes that this replica lacks, and none are missing before them.
+  /// Of a later era, only a complete copy does.
   bool isNext(const FleetMessage &message) const;
   void didReceiveConfirmation(const FleetMessage &message, TimePoint now, ReplicaUpdate &update);
 
--- a/Libraries/LibFleet/StoreSync.cpp
+++ b/Libraries/LibFleet/StoreSync.cpp
@@ -87,7 +87,21 @@
     Fleet.members().didReachStore(now);
 }
 
+std::optional<StoreFailure> StoreSync::failureOf(StoreRevision answered) const {
+  const std::uint64_t era = Fleet.revision().Era;
+  // The answer was delayed, or it comes from a store that isn't the current one.
+  if (answered.Era < era)
+    return StoreFailure::Unreachable;
+  if (LastCall.Step != StoreSyncStep::Watch || answered.Era == LastCall.After.Era)
+    return std::nullopt;
+  // The changes follow a number that was assigned in another era. If the replica has reached the
+  // era of the answer meanwhile, through another VM, a check of the revision tells the rest.
+  return answered.Era > era ? StoreFailure::HistoryUnavailable : StoreFailure::Unreachable;
+}
+
 ReplicaUpdate StoreSync::didCheck(StoreRevision storeRevision, TimePoint now) {
+  if (const auto failure = failureOf(storeRevision))
+    return didFail(*failure, now);
   Policy.didCheck(storeRevision, Fleet.revision(), now);
   didAnswer(now);
   ReplicaUpdate update;
@@ -98,12 +112,16 @@
 }
 
 ReplicaUpdate StoreSync::didReadAll(const StoreDelta &delta, TimePoint now) {
+  if (const auto failure = failureOf(delta.AsOf))
+    return didFail(*failure, now);
   Policy.didReadAll(now);
   didAnswer(now);
   return didRead(delta, CalledAt, now);
 }
 
 ReplicaUpdate StoreSync::didWatch(const StoreDelta &delta, TimePoint now) {
+  if (const auto failure = failureOf(delta.AsOf))
+    return didFail(*failure, now);
   Policy.didWatch(now);
   didAnswer(now);
   const TimePoint waitEnd = CalledAt + LastCall.Wait;
--- a/Libraries/LibFleet/StoreSync.h
+++ b/Libraries/LibFleet/StoreSync.h
@@ -26,6 +26,8 @@
   StoreSync(FleetReplica &fleet, std::uint64_t rngSeed) : Fleet(fleet), Rng(rngSeed) {}
 
   StoreCall next(TimePoint now);
+  /// An answer of another era than that in which the call was made, or than the replica's, proves
+  /// nothing about the replica and isn't merged, except for a complete copy of a later era.
   ReplicaUpdate didCheck(StoreRevision storeRevision, TimePoint now);
   ReplicaUpdate didReadAll(const StoreDelta &delta, TimePoint now);
   ReplicaUpdate didWatch(const StoreDelta &delta, TimePoint now);
@@ -45,6 +47,8 @@
   Duration watchWait(TimePoint now) const;
   /// How long the VM may wait for further changes before its next watch.
   Duration batchingDelay(TimePoint now) const;
+  /// Why an answer as of a revision counts as a failure of the call. Empty if it doesn't.
+  std::optional<StoreFailure> failureOf(StoreRevision answered) const;
   ReplicaUpdate didRead(const StoreDelta &delta, TimePoint confirmedAt, TimePoint now);
   void didAnswer(TimePoint now);
   /// The latest time at which a call that failed shows that the store was unreachable.
--- a/Services/Gateway/FleetTask.cpp
+++ b/Services/Gateway/FleetTask.cpp
@@ -122,9 +122,9 @@
   if (std::exchange(WasReplicaOld, isOld) == isOld)
     return;
   if (!isOld) {
-    Owner.eventLog().write(EventLog::Priority::Important, "replica_current",
-                           {{"age_ms", fmt::format("{}", toMilliseconds(age))},
-                            {"rev", fmt::format("{}", Fleet.revision())}});
+    Owner.eventLog().write(
+        EventLog::Priority::Important, "replica_current",
+        {{"age_ms", fmt::format("{}", toMilliseconds(age))}, {"rev", Fleet.revision().text()}});
     return;
   }
   ++OldReplicas;
@@ -132,7 +132,7 @@
   Owner.eventLog().write(
       EventLog::Priority::Important, "replica_old",
       {{"age_ms", fmt::format("{}", toMilliseconds(age))},
-       {"rev", fmt::format("{}", Fleet.revision())},
+       {"rev", Fleet.revision().text()},
        {"reader", reader ? toText(reader->Ip, CallersPort) : "self"},
        {"reader_silent_ms", fmt::format("{}", reader ? toMilliseconds(reader->SilentFor) : 0)}});
 }
@@ -183,7 +183,7 @@
   ++Pulls;
   const auto endpoint = *parseEndpoint(toText(from, Owner.settings().FirstInternalPort));
   const StoreRevision after = Fleet.revision();
-  const std::string target = fmt::format("{}{}", ReplicaTarget, after);
+  const std::string target = fmt::format("{}{}", ReplicaTarget, after.text());
   const auto response =
       co_await fetch(endpoint, HttpRequest{http::verb::get, target, 11}, PullTimeout);
   const auto bytes = response.ok() && response->result() == http::status::ok
@@ -210,7 +210,7 @@
 asio::awaitable<HttpResponse> FleetTask::answer(HttpRequest request) {
   const std::string_view target = request.target();
   const auto after = target.starts_with(ReplicaTarget)
-                         ? parseNumber<StoreRevision>(target.substr(ReplicaTarget.size()))
+                         ? StoreRevision::parse(target.substr(ReplicaTarget.size()))
                          : std::nullopt;
   if (!after)
     co_return HttpResponse{http::status::not_found, 11};
@@ -223,10 +223,23 @@
 
 void FleetTask::publish(const ReplicaUpdate &update, std::string_view source) {
   send(update.Datagrams);
-  if (!update.Changes.empty())
+  if (update.IsRestored)
+    logRestore(update, source);
+  // A restore that changes no key still extends the time in which others write what it has lost.
+  if (!update.Changes.empty() || update.IsRestored)
     Owner.didLearn(update.Changes, source, update.removals());
 }
 
+void FleetTask::logRestore(const ReplicaUpdate &update, std::string_view source) {
+  const auto lost = std::ranges::count_if(update.Changes, &StoreItem::IsRemoved);
+  Owner.eventLog().write(EventLog::Priority::Important, "store_restored",
+                         {{"old_rev", update.RevisionBefore.text()},
+                          {"rev", Fleet.revision().text()},
+                          {"keys_lost", fmt::format("{}", lost)},
+                          {"keys_changed", fmt::format("{}", std::ssize(update.Changes) - lost)},
+                          {"from", std::string{source}}});
+}
+
 void FleetTask::send(const std::vector<FleetDatagram> &sends) {
   for (const FleetDatagram &it : sends)
     sendOne(it);
--- a/Services/Gateway/FleetTask.h
+++ b/Services/Gateway/FleetTask.h
@@ -53,6 +53,8 @@
   void handle(const FleetMessage &message);
   /// Logs when the replica has become older than its limit, and when it is current again.
   void logReplicaAge(TimePoint now);
+  /// Logs that the store was restored from an older copy.
+  void logRestore(const ReplicaUpdate &update, std::string_view source);
   void sendOne(const FleetDatagram &send);
 
   Gateway &Owner;
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -63,6 +63,8 @@
                        const EntryRemoval &removals) {
   const TimePoint now = bootTimeNow();
   bool hasChanged = false;
+  if (removals.Kind == RemovalKind::StoreRestored)
+    Upstreams.didRestoreStore(now);
   for (const StoreItem &it : changes) {
     if (it.Key == platform::ConfigurationKey) {
       didLearnPlan(it, source);
@@ -99,7 +101,7 @@
   if (!configuration.ok()) {
     Log.write(EventLog::Priority::Important, "plan_rejected",
               {{"why", std::string{configuration.status().message()}},
-               {"rev", fmt::format("{}", item.Revision)},
+               {"rev", item.Revision.text()},
                {"from", std::string{source}}});
     return;
   }
@@ -109,7 +111,7 @@
   Log.write(EventLog::Priority::Important, isTaken ? "plan_taken" : "plan_older",
             {{"version", fmt::format("{}", version)},
              {"routes", fmt::format("{}", routes)},
-             {"rev", fmt::format("{}", item.Revision)},
+             {"rev", item.Revision.text()},
              {"from", std::string{source}}});
 }
 
@@ -121,17 +123,20 @@
       return false;
     Log.write(EventLog::Priority::Important,
               item.IsRemoved ? "upstream_gone" : "upstream_unreadable",
-              {{"up", std::string{id}}, {"rev", fmt::format("{}", item.Revision)}});
+              {{"up", std::string{id}}, {"rev", item.Revision.text()}});
     return true;
   }
   const UpstreamRecord copy = *record;
-  if (!Upstreams.didWrite(*std::move(record), now))
+  const bool isRestored = removal.Kind == RemovalKind::StoreRestored;
+  const bool hasChanged = isRestored ? Upstreams.didRestore(*std::move(record), now)
+                                     : Upstreams.didWrite(*std::move(record), now);
+  if (!hasChanged)
     return false;
   Log.write(EventLog::Priority::Important, copy.IsDraining ? "upstream_draining" : "upstream_ready",
             {{"up", copy.Id},
              {"svc", copy.Service},
              {"addr", copy.Address},
-             {"rev", fmt::format("{}", item.Revision)}});
+             {"rev", item.Revision.text()}});
   return true;
 }
 
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -42,7 +42,8 @@
   Gateway(boost::asio::io_context &context, const GatewaySettings &settings, EventLog &log,
           std::uint64_t seed);
 
-  /// Takes over keys of the store that have changed.
+  /// Takes over keys of the store that have changed. If `removals` are of the kind `StoreRestored`,
+  /// all changes are those of a store that was restored from an older copy.
   void didLearn(std::span<const StoreItem> changes, std::string_view source,
                 const EntryRemoval &removals);
   void setSettings(const GatewaySettings &settings);
--- a/Services/Gateway/Ports.cpp
+++ b/Services/Gateway/Ports.cpp
@@ -70,7 +70,9 @@
                static_cast<double>(store.calls().Watches));
   text.counter("wigeonlift_store_call_failures_total", {},
                static_cast<double>(store.calls().Failed));
-  text.gauge("wigeonlift_store_revision", {}, static_cast<double>(fleet.replica().revision()));
+  text.gauge("wigeonlift_store_revision", {},
+             static_cast<double>(fleet.replica().revision().Number));
+  text.gauge("wigeonlift_store_era", {}, static_cast<double>(fleet.replica().revision().Era));
   const TimePoint now = bootTimeNow();
   text.gauge("wigeonlift_replica_age_seconds", {}, toSeconds(fleet.fleet().freshness().age(now)));
   text.counter("wigeonlift_replica_old_total", {}, static_cast<double>(fleet.oldReplicas()));
@@ -94,7 +96,8 @@
   state["ready"] = gateway.isReady();
   state["plan"] =
       gateway.plans().current() ? gateway.plans().current()->configuration().Version : 0;
-  state["store_revision"] = fleet.replica().revision();
+  state["store_revision"] = fleet.replica().revision().Number;
+  state["store_era"] = fleet.replica().revision().Era;
   boost::json::array upstreams;
   for (const auto &[id, it] : gateway.upstreams().upstreams())
     upstreams.push_back(boost::json::object{{"id", id},
--- a/Tests/LibDiscovery/TestStoreReplica.cpp
+++ b/Tests/LibDiscovery/TestStoreReplica.cpp
@@ -94,4 +94,53 @@
   EXPECT_EQ(peer.find("a"), nullptr);
 }
 
+// Guards against numbers of different eras that are compared: after a restore they go back.
+TEST(StoreRevision, IsOrderedByEraAndThenNumber) {
+  EXPECT_LT(StoreRevision(0, 90), StoreRevision(1, 5));
+  EXPECT_LT(StoreRevision(1, 5), StoreRevision(1, 6));
+  EXPECT_EQ(StoreRevision(0, 7), StoreRevision{7});
+}
+
+// Guards against calls and logs that differ on platforms without eras, and against texts that are
+// read as a revision by mistake.
+TEST(StoreRevision, TextsAreReadAsTheyAreWritten) {
+  EXPECT_EQ(StoreRevision(0, 7).text(), "7");
+  EXPECT_EQ(StoreRevision(2, 7).text(), "2.7");
+  for (const StoreRevision it : {StoreRevision(0, 7), StoreRevision(2, 7)})
+    EXPECT_EQ(StoreRevision::parse(it.text()), it);
+  EXPECT_EQ(StoreRevision::parse("0.7"), StoreRevision(0, 7));
+  for (const char *text : {"", ".", "1.", ".7", "1.2.3", "-1.2", "1.x"})
+    EXPECT_FALSE(StoreRevision::parse(text)) << text;
+}
+
+// Guards against keys of a restored store that are ignored because their numbers are lower, and
+// against changes of the lost history that are kept.
+TEST(StoreReplica, ACopyOfALaterEraReplacesAllKeys) {
+  StoreReplica replica;
+  replica.apply(delta({item("a", "v", 10), item("b", "v", 11), item("c", "v", 12)}, 20, true),
+                Start);
+  const auto changes = replica.apply(
+      delta({item("a", "v", {1, 3}), item("b", "w", {1, 4}), item("d", "v", {1, 5})}, {1, 9}, true),
+      Start);
+  ASSERT_EQ(changes.size(), 3U);
+  EXPECT_EQ(changes[0].Key, "b");
+  EXPECT_EQ(changes[1].Key, "d");
+  EXPECT_EQ(changes[2], removal("c", {1, 9}));
+  EXPECT_EQ(replica.revision(), StoreRevision(1, 9));
+  EXPECT_EQ(replica.items().size(), 3U);
+  // A VM of the earlier era can't use changes after a revision of its own.
+  EXPECT_TRUE(replica.changesSince(15).IsComplete);
+  EXPECT_FALSE(replica.changesSince({1, 9}).IsComplete);
+}
+
+// Guards against changes that are merged into a copy of another era, whose other keys differ.
+TEST(StoreReplica, ChangesOfAnotherEraHaveNoEffect) {
+  StoreReplica replica;
+  replica.apply(delta({item("a", "v", {1, 3})}, {1, 5}, true), Start);
+  EXPECT_TRUE(replica.apply(delta({item("a", "w", 90)}, 90, true), Start).empty());
+  EXPECT_TRUE(replica.apply(delta({item("a", "w", {2, 4})}, {2, 6}), Start).empty());
+  EXPECT_EQ(replica.revision(), StoreRevision(1, 5));
+  EXPECT_EQ(replica.find("a")->Value, "v");
+}
+
 } // namespace wigeonlift
--- a/Tests/LibDiscovery/TestStoreSyncPolicy.cpp
+++ b/Tests/LibDiscovery/TestStoreSyncPolicy.cpp
@@ -47,7 +47,7 @@
   EXPECT_EQ(policy.pause(Jitter, MaxBatchingDelay), Duration::zero());
   EXPECT_EQ(policy.nextStep(StoreSyncNeed::IsReader, Start + ms(1500)),
             StoreSyncStep::CheckRevision);
-  policy.didCheck(ReplicaRevision + 1, ReplicaRevision, Start + ms(1510));
+  policy.didCheck({ReplicaRevision.Number + 1}, ReplicaRevision, Start + ms(1510));
   EXPECT_EQ(policy.pause(Jitter, MaxBatchingDelay), Duration::zero());
   EXPECT_EQ(policy.nextStep(StoreSyncNeed::IsReader, Start + ms(1510)), StoreSyncStep::ReadAll);
   policy.didReadAll(Start + ms(1530));
@@ -158,7 +158,7 @@
   EXPECT_EQ(policy.nextStep(StoreSyncNeed::None, Start + ms(500)), StoreSyncStep::WaitForPeers);
   EXPECT_EQ(policy.nextStep(StoreSyncNeed::ReplicaExpired, Start + ms(1500)),
             StoreSyncStep::CheckRevision);
-  policy.didCheck(ReplicaRevision + 1, ReplicaRevision, Start + ms(1510));
+  policy.didCheck({ReplicaRevision.Number + 1}, ReplicaRevision, Start + ms(1510));
   EXPECT_EQ(policy.pause(Jitter, MaxBatchingDelay), Duration::zero());
   EXPECT_EQ(policy.nextStep(StoreSyncNeed::ReplicaExpired, Start + ms(1510)),
             StoreSyncStep::ReadAll);
--- a/Tests/LibDiscovery/TestUpstreamList.cpp
+++ b/Tests/LibDiscovery/TestUpstreamList.cpp
@@ -146,4 +146,92 @@
   EXPECT_FALSE(list.didWrite(record("x"), Start));
 }
 
+/// An upstream's entry that was written as the `writeCount`th one of its process.
+UpstreamRecord written(std::uint64_t writeCount, bool isDraining = false) {
+  UpstreamRecord result = record("x", 20);
+  result.WriteCount = writeCount;
+  result.IsDraining = isDraining;
+  return result;
+}
+
+constexpr EntryRemoval Lost{.Kind = RemovalKind::StoreRestored, .EarliestAt = Start};
+
+// Guards against upstreams that left and get requests again because the store lost their removal,
+// and against upstreams that stay out of use after they have registered again.
+TEST(UpstreamList, ARestoredStoreBringsBackNoRemovedUpstreams) {
+  UpstreamList list{Bounds};
+  list.didWrite(written(5), Start);
+  list.didRemove("x", {.Kind = RemovalKind::Final, .EarliestAt = Start}, Start);
+  EXPECT_FALSE(list.didRestore(written(4), Start));
+  EXPECT_FALSE(list.didRestore(written(5), Start));
+  EXPECT_FALSE(list.didRestore(record("x", 10), Start));
+  EXPECT_TRUE(list.usable("rankview").empty());
+  UpstreamList other = list;
+  EXPECT_TRUE(list.didRestore(written(6), Start));
+  EXPECT_EQ(list.usable("rankview").size(), 1U);
+  EXPECT_TRUE(other.didRestore(record("x", 21), Start));
+  EXPECT_EQ(other.usable("rankview").size(), 1U);
+}
+
+// Guards against draining upstreams that get requests again because the store lost that state.
+TEST(UpstreamList, ARestoredStoreKeepsUpstreamsDraining) {
+  UpstreamList list{Bounds};
+  list.didWrite(written(5, true), Start);
+  EXPECT_FALSE(list.didRestore(written(4), Start));
+  EXPECT_TRUE(list.usable("rankview").empty());
+  UpstreamList other = list;
+  EXPECT_TRUE(list.didRestore(written(6), Start));
+  EXPECT_EQ(list.usable("rankview").size(), 1U);
+  EXPECT_TRUE(other.didRemove("x", Lost, Start));
+  EXPECT_FALSE(other.didRestore(written(4), Start));
+}
+
+// Guards against the loss of upstreams that the copy lacks, and against their use for good if they
+// are really gone.
+TEST(UpstreamList, UpstreamsThatARestoredStoreLacksGetTimeToRegister) {
+  UpstreamList list{Bounds};
+  list.didWrite(written(5), Start);
+  EXPECT_FALSE(list.didRemove("x", Lost, Start));
+  UpstreamList other = list;
+  EXPECT_FALSE(list.applyDueRemovals(Start + LeaseRenewalTime - std::chrono::milliseconds{1}));
+  EXPECT_TRUE(list.applyDueRemovals(Start + LeaseRenewalTime));
+  // A second restore, from a copy that has the entry, doesn't show that it is back.
+  EXPECT_FALSE(list.didRestore(written(5), Start + LeaseRenewalTime));
+  other.didWrite(written(6), Start);
+  EXPECT_FALSE(other.applyDueRemovals(Start + LeaseRenewalTime));
+  EXPECT_EQ(other.usable("rankview").size(), 1U);
+}
+
+// Guards against the loss of upstreams that registered again just before a second restore, which
+// lost that again, and against one whose entry a second restore brought back.
+TEST(UpstreamList, ASecondRestoreExtendsTheTimeToRegister) {
+  constexpr auto second = std::chrono::seconds{1};
+  UpstreamList list{Bounds};
+  list.didWrite(written(5), Start);
+  list.didRemove("x", Lost, Start);
+  list.didRestoreStore(Start + second);
+  EXPECT_FALSE(list.applyDueRemovals(Start + LeaseRenewalTime));
+  EXPECT_FALSE(list.didRestore(written(5), Start + second));
+  EXPECT_FALSE(list.nextRemovalDue());
+}
+
+// Guards against an upstream that stays in use although only its predecessor is listed, and against
+// the predecessor in its place.
+TEST(UpstreamList, AnEarlierIncarnationOfARestoredStoreCountsAsNothing) {
+  UpstreamList list{Bounds};
+  list.didWrite(written(5), Start);
+  EXPECT_FALSE(list.didRestore(record("x", 10), Start));
+  EXPECT_EQ(list.usable("rankview")[0].StartedAtMs, 20U);
+  EXPECT_TRUE(list.applyDueRemovals(Start + LeaseRenewalTime));
+}
+
+// Guards against a removal that is in doubt and that a restored store without it ends.
+TEST(UpstreamList, ARestoredStoreEndsNoGracePeriod) {
+  UpstreamList list{Bounds};
+  list.didWrite(written(5), Start);
+  list.didRemove("x", {.Kind = RemovalKind::PossibleLeaseExpiry, .EarliestAt = Start}, Start);
+  EXPECT_FALSE(list.didRestore(written(5), Start));
+  EXPECT_TRUE(list.applyDueRemovals(Start + DrainTimeout));
+}
+
 } // namespace wigeonlift
--- a/Tests/LibFleet/ModelFleet.cpp
+++ b/Tests/LibFleet/ModelFleet.cpp
@@ -283,7 +283,8 @@
 }
 
 void ModelFleet::write(StoreItem item) {
-  item.Revision = ++Revision;
+  ++Revision.Number;
+  item.Revision = Revision;
   const auto it = std::ranges::find(StoreItems, item.Key, &StoreItem::Key);
   if (it == StoreItems.end())
     StoreItems.push_back(std::move(item));
@@ -318,7 +319,7 @@
     it->LastReported = due->Revision;
     std::ostringstream line;
     line << "VM " << it->Index << " of data centre " << it->Fleet->members().self().DataCentre
-         << " lacks revision " << due->Revision << " of " << toMilliseconds(due->At - Begin)
+         << " lacks revision " << due->Revision.text() << " of " << toMilliseconds(due->At - Begin)
          << " ms at " << toMilliseconds(Now - Begin) << " ms";
     Violations.push_back(line.str());
   }
--- a/Tests/LibFleet/TestFleetReplica.cpp
+++ b/Tests/LibFleet/TestFleetReplica.cpp
@@ -257,4 +257,75 @@
             std::vector<std::string>{"config"});
 }
 
+namespace {
+
+StoreDelta copyOfEra(std::uint64_t era, bool isComplete = true) {
+  return {.Items = {{.Key = "a", .Value = "w", .Revision = {era, 2}}},
+          .IsComplete = isComplete,
+          .AsOf = {era, 3}};
+}
+
+FleetMessage messageOfEra(std::uint64_t era, bool isComplete) {
+  FleetMessage message{.Sender = {.Ip = Sender, .DataCentre = "a", .Incarnation = 1}};
+  message.Sender.Revision = {era, 3};
+  message.Delta = copyOfEra(era, isComplete);
+  return message;
+}
+
+} // namespace
+
+// Guards against changes of a restored store that a VM of the earlier era merges into its replica
+// without what was lost, and against a VM that doesn't notice that it is behind.
+TEST(RestoredStore, OnlyACompleteCopyCrossesTheEra) {
+  FleetReplica replica = replicaOf(Receiver);
+  FleetMessage changes = messageOfEra(1, false);
+  changes.ReplicaConfirmedAt = ClockReading{.Incarnation = 1, .Ms = 100'500};
+  const ReplicaUpdate ignored = replica.didReceive(changes, Start + ms(600));
+  EXPECT_TRUE(ignored.Changes.empty());
+  EXPECT_EQ(replica.revision(), 7U);
+  EXPECT_EQ(replica.freshness().confirmedAt(), Start);
+  EXPECT_TRUE(replica.members().isBehind(Start + ms(600)));
+  const ReplicaUpdate update = replica.didReceive(messageOfEra(1, true), Start + ms(600));
+  EXPECT_TRUE(update.IsRestored);
+  EXPECT_EQ(update.RevisionBefore, 7U);
+  EXPECT_EQ(update.removals().Kind, RemovalKind::StoreRestored);
+  EXPECT_EQ(replica.revision(), StoreRevision(1, 3));
+}
+
+// Guards against a VM of the earlier era whose confirmations or copies count for the new one.
+TEST(RestoredStore, VmsOfAnEarlierEraProveNothing) {
+  FleetReplica replica = replicaOf(Receiver);
+  replica.didReadStore(copyOfEra(1), 7, Start, Start);
+  FleetMessage message = messageOfEra(0, true);
+  message.ReplicaConfirmedAt = ClockReading{.Incarnation = 1, .Ms = 100'500};
+  EXPECT_FALSE(replica.didReceive(message, Start + ms(600)).IsRestored);
+  EXPECT_EQ(replica.revision(), StoreRevision(1, 3));
+  EXPECT_EQ(replica.freshness().confirmedAt(), Start);
+}
+
+// Guards against a VM that has just started and whose first keys count as those of a restore.
+TEST(RestoredStore, TheFirstCopyOfAVmIsNoRestore) {
+  FleetReplica replica{FleetVm{.Ip = Receiver, .DataCentre = "a", .Incarnation = 1},
+                       {},
+                       FreshnessLimits::forChangeDeadline(std::chrono::seconds{2}),
+                       1,
+                       Start};
+  replica.didReceive(messageOfEra(1, true), Start);
+  const ReplicaUpdate update = replica.didReadStore(copyOfEra(2), {1, 3}, Start, Start);
+  EXPECT_FALSE(update.IsRestored);
+  EXPECT_EQ(update.Changes.size(), 1U);
+}
+
+// Guards against messages that lose the era, and against ones that differ on platforms without.
+TEST(RestoredStore, MessagesCarryTheEra) {
+  FleetMessage message = messageOfEra(1, true);
+  message.DeltaAfter = {1, 2};
+  const auto decoded = decodeFleetMessage(encodeFleetMessage(message));
+  ASSERT_TRUE(decoded && decoded->Delta);
+  EXPECT_EQ(decoded->Sender.Revision, StoreRevision(1, 3));
+  EXPECT_EQ(decoded->Delta->AsOf, StoreRevision(1, 3));
+  EXPECT_EQ(decoded->Delta->Items, message.Delta->Items);
+  EXPECT_EQ(decoded->DeltaAfter, StoreRevision(1, 2));
+}
+
 } // namespace wigeonlift
--- a/Tests/LibFleet/TestStoreSync.cpp
+++ b/Tests/LibFleet/TestStoreSync.cpp
@@ -74,4 +74,59 @@
   EXPECT_LE(sync.next(Start + ms(3400)).Wait, Limits.ConfirmInterval);
 }
 
+namespace {
+
+/// A reader with a replica of the first era that begins a call.
+class StoreSyncAcrossEras : public testing::Test {
+protected:
+  StoreSyncAcrossEras() {
+    Sync.next(Start);
+    Sync.didReadAll({.Items = {}, .IsComplete = true, .AsOf = {1, 7}}, Start);
+    EXPECT_EQ(Sync.next(Start).Step, StoreSyncStep::Watch);
+  }
+  StoreDelta changes(StoreRevision asOf) const {
+    return {.Items = {{.Key = "a", .Value = "v", .Revision = asOf}}, .AsOf = asOf};
+  }
+
+  FleetReplica Fleet{FleetVm{.Ip = 1, .DataCentre = "b", .Incarnation = 1}, {}, Limits, 1, Start};
+  StoreSync Sync{Fleet, 1};
+};
+
+} // namespace
+
+// Guards against changes that follow the same number in another era, without those before them.
+TEST_F(StoreSyncAcrossEras, AWatchAnsweredInALaterEraLeadsToACompleteRead) {
+  EXPECT_TRUE(Sync.didWatch(changes({2, 9}), Start + ms(500)).Changes.empty());
+  EXPECT_EQ(Fleet.revision(), StoreRevision(1, 7));
+  EXPECT_EQ(Fleet.freshness().confirmedAt(), Start);
+  EXPECT_EQ(Sync.next(Start + ms(500)).Step, StoreSyncStep::ReadAll);
+  EXPECT_FALSE(Sync.isDisconnected());
+}
+
+// Guards against the same answer if the replica has reached the later era through another VM.
+TEST_F(StoreSyncAcrossEras, AWatchAskedInAnEarlierEraIsDiscarded) {
+  Fleet.didReadPeer({.Items = {}, .IsComplete = true, .AsOf = {2, 3}}, {1, 7}, 2, Start + ms(400));
+  EXPECT_TRUE(Sync.didWatch(changes({2, 9}), Start + ms(500)).Changes.empty());
+  EXPECT_EQ(Fleet.revision(), StoreRevision(2, 3));
+  EXPECT_EQ(Sync.next(Start + ms(500)).Step, StoreSyncStep::CheckRevision);
+}
+
+// Guards against a delayed answer of an earlier era that makes the replica younger.
+TEST_F(StoreSyncAcrossEras, AnswersOfAnEarlierEraAreDiscarded) {
+  EXPECT_TRUE(Sync.didWatch(changes({0, 99}), Start + ms(500)).Changes.empty());
+  EXPECT_EQ(Sync.next(Start + ms(500)).Step, StoreSyncStep::CheckRevision);
+  Sync.didCheck({0, 99}, Start + ms(600));
+  EXPECT_EQ(Fleet.revision(), StoreRevision(1, 7));
+  EXPECT_EQ(Fleet.freshness().confirmedAt(), Start);
+}
+
+// Guards against a check that finds a lower number and takes the replica for current.
+TEST_F(StoreSyncAcrossEras, ACheckAnsweredInALaterEraLeadsToACompleteRead) {
+  Sync.didFail(StoreFailure::Unreachable, Start + ms(500));
+  EXPECT_EQ(Sync.next(Start + ms(500)).Step, StoreSyncStep::CheckRevision);
+  Sync.didCheck({2, 3}, Start + ms(600));
+  EXPECT_EQ(Fleet.freshness().confirmedAt(), Start);
+  EXPECT_EQ(Sync.next(Start + ms(600)).Step, StoreSyncStep::ReadAll);
+}
+
 } // namespace wigeonlift
--- a/Tests/Platform/TestStoreClient.cpp
+++ b/Tests/Platform/TestStoreClient.cpp
@@ -112,4 +112,35 @@
                }).ok());
 }
 
+// Guards against a copy with pages of two eras, and against a read that never ends.
+TEST(StoreClient, ACopyIsOfOneEra) {
+  const auto page = [](const char *key, bool hasMore, int era) {
+    const std::string body = fmt::format(
+        R"({{"items":[{{"key":"{}","value":"","revision":3}}],"has-more":{},"as-of":7}})", key,
+        hasMore);
+    return FakeReply{fmt::format("HTTP/1.1 200 OK\r\nStore-Era: {}\r\nContent-Length: {}\r\n\r\n{}",
+                                 era, body.size(), body)};
+  };
+  int calls = 0;
+  const auto delta = readAllFrom([&](const std::string &request) {
+    const bool isFirst = request.find("after=") == std::string::npos;
+    return page(isFirst ? "a" : "b", isFirst, ++calls == 1 ? 1 : 2);
+  });
+  ASSERT_TRUE(delta.ok()) << delta.status();
+  EXPECT_EQ(delta->AsOf, StoreRevision(2, 7));
+  ASSERT_EQ(delta->Items.size(), 2U);
+  EXPECT_EQ(delta->Items[0].Revision, StoreRevision(2, 3));
+  EXPECT_FALSE(readAllFrom([&](const std::string &) { return page("a", true, ++calls); }).ok());
+}
+
+// Guards against an era that can't be read and counts as the first one.
+TEST(StoreClient, AnUnreadableEraIsAnError) {
+  EXPECT_FALSE(readAllFrom([](const std::string &) {
+                 const std::string body = R"({"items":[],"as-of":7})";
+                 return FakeReply{fmt::format("HTTP/1.1 200 OK\r\nStore-Era: -1\r\n"
+                                              "Content-Length: {}\r\n\r\n{}",
+                                              body.size(), body)};
+               }).ok());
+}
+
 } // namespace wigeonlift
