TestLibFleet: Restore the store of the model from older copies

ModelOptions::HasRestores draws restores, often several in a row, with an order of draws of its own, so that existing seeds keep their runs.

--- a/Tests/LibFleet/ModelFleet.cpp
+++ b/Tests/LibFleet/ModelFleet.cpp
@@ -33,7 +33,7 @@
 }
 
 ModelFleet::ModelFleet(ModelOptions options, std::uint64_t seed)
-    : Options(options), Rng(seed), ClockRng(seed), Now(Begin) {
+    : Options(options), Rng(seed), ClockRng(seed), RestoreRng(seed), Now(Begin) {
   for (int n = 0; n < Keys; ++n)
     StoreItems.push_back({.Key = "k" + std::to_string(n), .Value = "v", .Revision = 1});
   for (int n = 0; n < options.Vms; ++n) {
@@ -76,6 +76,8 @@
   planFaults(FaultsFrom);
   if (Options.HasUpstreams)
     planUpstreams();
+  if (Options.HasRestores)
+    planRestores();
   for (TimePoint time = FaultsFrom; time < End; time += CheckInterval)
     at(time, [this] { check(); });
   while (!Events.empty() && Events.top().At < End) {
@@ -102,6 +104,8 @@
   vm.Sync = std::make_unique<StoreSync>(*vm.Fleet, seed);
   vm.List = std::make_unique<UpstreamList>(RemovalBounds{
       .DrainTimeout = Options.DrainTimeout, .StoreSettleTime = Options.StoreSettleTime});
+  vm.Used.clear();
+  vm.KnownGone.clear();
   vm.Reads = {};
   vm.IsCatchingUp = false;
   vm.Deferred.clear();
@@ -214,7 +218,7 @@
 }
 
 bool ModelFleet::isStoreDown() const {
-  return Now >= FaultsFrom && Now < FaultsFrom + Options.StoreOutage;
+  return isRestoring() || (Now >= FaultsFrom && Now < FaultsFrom + Options.StoreOutage);
 }
 
 void ModelFleet::answerCall(Vm &vm, const StoreCall &call, const CallState &state) {
@@ -243,11 +247,18 @@
       return;
     if (isStoreDown() && Options.IsOutageSilent)
       return;
-    respond(vm, state, [this, &vm, delta = changesAfter(call.After, false)] {
+    // The store doesn't know in which era a watch was asked.
+    const bool hasHistory = call.After.Number <= Revision.Number;
+    if (isRestoring() || !hasHistory)
+      return respond(vm, state, [this, &vm, hasHistory] {
+        return vm.Sync->didFail(
+            hasHistory ? StoreFailure::Unreachable : StoreFailure::HistoryUnavailable, clockOf(vm));
+      });
+    respond(vm, state, [this, &vm, delta = changesAfter(call.After.Number, false)] {
       return vm.Sync->didWatch(delta, clockOf(vm));
     });
   };
-  if (Revision > call.After)
+  if (Revision.Number != call.After.Number)
     return watch->Answer();
   Watches.push_back(watch);
   at(Now + call.Wait, [watch] { watch->Answer(); });
@@ -269,15 +280,17 @@
        [this, &vm] { syncWithStore(vm); });
 }
 
-StoreDelta ModelFleet::changesAfter(StoreRevision revision, bool isComplete) const {
+StoreDelta ModelFleet::changesAfter(std::uint64_t number, bool isComplete) const {
   StoreDelta delta{.Items = {}, .IsComplete = isComplete, .AsOf = Revision};
   for (const StoreItem &it : StoreItems)
-    if (it.Revision > revision && !(isComplete && it.IsRemoved))
+    if (it.Revision.Number > number && !(isComplete && it.IsRemoved))
       delta.Items.push_back(it);
   return delta;
 }
 
 void ModelFleet::change() {
+  if (isRestoring())
+    return at(RestoringUntil, [this] { change(); });
   write(StoreItem{StoreItems[Rng.below(Keys)]});
   Changes.push_back({.Revision = Revision, .At = Now});
 }
@@ -299,7 +312,11 @@
   const TimePoint due = change.At + Options.ChangeDeadline;
   const bool isStretched = std::ranges::any_of(
       RefusalSpans, [&](const Span &it) { return it.Begin <= due && it.End >= change.At; });
-  return isStretched ? due + Options.RefusalStretch : due;
+  TimePoint settled = isStretched ? due + Options.RefusalStretch : due;
+  for (const Span &it : RestoreSpans)
+    if (it.Begin <= due && it.End + Options.StoreSettleTime >= change.At)
+      settled = std::max(settled, it.End + Options.StoreSettleTime);
+  return settled;
 }
 
 bool ModelFleet::isInTouch(const Vm &vm) const {
@@ -308,6 +325,7 @@
 
 void ModelFleet::check() {
   checkUpstreams();
+  checkRestores();
   const auto isDue = [&](const Change &it) { return dueTime(it) <= Now; };
   const auto due = std::ranges::find_if(Changes.rbegin(), Changes.rend(), isDue);
   if (due == Changes.rend())
--- a/Tests/LibFleet/ModelFleet.h
+++ b/Tests/LibFleet/ModelFleet.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <queue>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,9 @@
   /// they register again after it. Others leave shortly before the outage, or right when the drain
   /// timeout holds again after it.
   bool HasUpstreams = false;
+  /// Whether the store is restored from older copies, often twice in a row. Upstreams register,
+  /// drain and leave before that, and write again what the store has lost, as the operator does.
+  bool HasRestores = false;
   Duration DrainTimeout = std::chrono::seconds{2};
   Duration StoreSettleTime = std::chrono::seconds{3};
 };
@@ -62,8 +66,8 @@
   /// Simulates the whole run. Returns a line for each change that a VM in touch didn't know in
   /// time.
   std::vector<std::string> run();
-  /// How many VMs, summed over all upstreams whose leases ran out and samples after the outage,
-  /// knew the upstream as usable; as a fraction.
+  /// How many VMs, summed over all upstreams whose leases ran out, or whose entries a restore lost,
+  /// and samples after the outage or the restore, knew the upstream as usable; as a fraction.
   double usableShare() const;
   /// Calls to the store in a span that begins `from` after the end of the calm start.
   int storeCalls(Duration from, Duration span) const;
@@ -95,6 +99,10 @@
     int Excuses = 0;
     TimePoint ExcusedUntil{};
     StoreRevision LastReported = 0;
+    /// Upstreams that the process has used, with the latest write of each that it knows, and those
+    /// of them that it knows to have left or drain.
+    std::map<std::string, std::uint64_t> Used;
+    std::set<std::string> KnownGone;
 
     bool isRunning() const { return Fleet != nullptr; }
   };
@@ -149,7 +157,7 @@
   void answerCall(Vm &vm, const StoreCall &call, const CallState &state);
   void respond(Vm &vm, const CallState &state, std::function<ReplicaUpdate()> take);
   void endCall(Vm &vm, const ReplicaUpdate &update);
-  StoreDelta changesAfter(StoreRevision revision, bool isComplete) const;
+  StoreDelta changesAfter(std::uint64_t number, bool isComplete) const;
   void change();
 
   /// What happens to the upstreams.
@@ -161,6 +169,13 @@
   void leave(const std::string &id);
   void checkUpstreams();
 
+  /// What happens to the store and the upstreams if it is restored from older copies.
+  void planRestores();
+  void writeState(const std::string &id);
+  void restore();
+  bool isRestoring() const { return Now < RestoringUntil; }
+  void checkRestores();
+
   void planFaults(TimePoint from);
   void planFault(TimePoint begin);
   std::vector<Vm *> pickVictims();
@@ -184,6 +199,7 @@
   ModelOptions Options;
   Random Rng;
   Random ClockRng;
+  Random RestoreRng;
   TimePoint Now;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> Events;
   std::uint64_t EventCount = 0;
@@ -200,6 +216,22 @@
     TimePoint Begin;
     TimePoint End;
   };
+  /// Copies of the store, of which later ones are restored.
+  struct Copy {
+    TimePoint At;
+    std::vector<StoreItem> Items;
+    std::uint64_t Number;
+  };
+  struct Upstream {
+    std::uint64_t WriteCount = 0;
+    bool IsDraining = false;
+    bool HasLeft = false;
+  };
+  std::vector<Copy> Copies;
+  std::map<std::string, Upstream> Registered;
+  TimePoint RestoringUntil{};
+  /// When the store was down to be restored.
+  std::vector<Span> RestoreSpans;
   /// When the store refused some VMs, with the time after which it counts as stable again.
   std::vector<Span> RefusalSpans;
   std::vector<std::shared_ptr<OpenWatch>> Watches;
--- a/Tests/LibFleet/ModelFleetUpstreams.cpp
+++ b/Tests/LibFleet/ModelFleetUpstreams.cpp
@@ -1,6 +1,7 @@
 #include <Tests/LibFleet/ModelFleet.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <sstream>
 
 namespace wigeonlift::test {
@@ -21,13 +22,16 @@
 // How long before the outage, and after its end when the drain timeout holds again, some leave.
 constexpr Duration LeavingSpan = ms(400);
 
-UpstreamRecord recordOf(const std::string &id) {
-  return {.Id = id,
+/// The value of an item is how often it was written, and `d` if the upstream drains.
+UpstreamRecord recordOf(const StoreItem &item) {
+  return {.Id = item.Key,
           .StartedAtMs = 1,
           .Service = std::string{Service},
           .Address = "10.0.0.1:80",
           .DataCentre = "a",
-          .Slots = 3};
+          .Slots = 3,
+          .IsDraining = item.Value.ends_with('d'),
+          .WriteCount = std::strtoull(item.Value.c_str(), nullptr, 10)};
 }
 
 } // namespace
@@ -60,13 +64,17 @@
 
 void ModelFleet::publish(Vm &vm, const ReplicaUpdate &update) {
   send(vm, update.Datagrams);
+  if (update.IsRestored)
+    vm.List->didRestoreStore(clockOf(vm));
   for (const StoreItem &it : update.Changes) {
     if (!it.Key.starts_with(KeyPrefix))
       continue;
     if (it.IsRemoved)
       vm.List->didRemove(it.Key, update.removals(), clockOf(vm));
+    else if (update.IsRestored)
+      vm.List->didRestore(recordOf(it), clockOf(vm));
     else
-      vm.List->didWrite(recordOf(it.Key), clockOf(vm));
+      vm.List->didWrite(recordOf(it), clockOf(vm));
   }
 }
 
