LibTelemetry: Write revisions of later eras as texts

1.10 and 1.1 are the same JSON number, but different revisions. A field can now say that it is a text. Plain numbers, as in era 0, stay numbers.

--- a/Libraries/LibTelemetry/EventLog.cpp
+++ b/Libraries/LibTelemetry/EventLog.cpp
@@ -108,11 +108,14 @@
   appendJsonString(Buffer, ProcessName);
   Buffer += R"(,"ev":)";
   appendJsonString(Buffer, event);
-  for (const auto &[name, value] : fields) {
+  for (const auto &[name, value, isText] : fields) {
     Buffer += ',';
     appendJsonString(Buffer, name);
     Buffer += ':';
-    appendJsonValue(Buffer, value);
+    if (isText)
+      appendJsonString(Buffer, value);
+    else
+      appendJsonValue(Buffer, value);
   }
   Buffer += "}\n";
   ++Appended;
--- a/Libraries/LibTelemetry/EventLog.h
+++ b/Libraries/LibTelemetry/EventLog.h
@@ -21,9 +21,9 @@
   EventLog(int descriptor, std::string processName);
 
   /// Appends a line with the wall-clock time, the process name, the event and the fields. Values in
-  /// decimal notation are written as JSON numbers unless they start with a redundant zero, as `007`
-  /// does. All others are written as strings. `-05`, `.5` and `5.` are also written as numbers
-  /// although JSON doesn't allow them.
+  /// decimal notation are written as JSON numbers unless the field is a text or they start with a
+  /// redundant zero, as `007` does. All others are written as strings. `-05`, `.5` and `5.` are
+  /// also written as numbers although JSON doesn't allow them.
   void write(Priority priority, std::string_view event, std::initializer_list<LogField> fields);
   /// Writes as much of the buffer to the file descriptor as it accepts without blocking.
   void flush();
--- a/Libraries/LibTelemetry/Log.cpp
+++ b/Libraries/LibTelemetry/Log.cpp
@@ -62,7 +62,7 @@
   if (!logger->isEnabledFor(log4cxxLevel))
     return;
   std::deque<log4cxx::MDC> mdcFields;
-  for (const auto &[name, value] : fields)
+  for (const auto &[name, value, isText] : fields)
     mdcFields.emplace_back(std::string{name}, value);
   logger->forcedLog(log4cxxLevel, std::string{message});
 }
--- a/Libraries/LibTelemetry/Log.h
+++ b/Libraries/LibTelemetry/Log.h
@@ -11,7 +11,12 @@
 enum class LogLevel : std::uint8_t { Debug, Info, Warn, Error };
 
 /// Name and value of a field in a log line.
-using LogField = std::pair<std::string_view, std::string>;
+struct LogField {
+  std::string_view Name;
+  std::string Value;
+  /// Written as a string also if it looks like a number.
+  bool IsText = false;
+};
 
 /// Starts writing log lines to standard error in JSON. Lines below the level (`debug`, `info`,
 /// `warn` or `error`) are discarded.
--- a/Services/Gateway/FleetTask.cpp
+++ b/Services/Gateway/FleetTask.cpp
@@ -122,9 +122,9 @@
   if (std::exchange(WasReplicaOld, isOld) == isOld)
     return;
   if (!isOld) {
-    Owner.eventLog().write(
-        EventLog::Priority::Important, "replica_current",
-        {{"age_ms", fmt::format("{}", toMilliseconds(age))}, {"rev", Fleet.revision().text()}});
+    Owner.eventLog().write(EventLog::Priority::Important, "replica_current",
+                           {{"age_ms", fmt::format("{}", toMilliseconds(age))},
+                            revisionField("rev", Fleet.revision())});
     return;
   }
   ++OldReplicas;
@@ -132,7 +132,7 @@
   Owner.eventLog().write(
       EventLog::Priority::Important, "replica_old",
       {{"age_ms", fmt::format("{}", toMilliseconds(age))},
-       {"rev", Fleet.revision().text()},
+       revisionField("rev", Fleet.revision()),
        {"reader", reader ? toText(reader->Ip, CallersPort) : "self"},
        {"reader_silent_ms", fmt::format("{}", reader ? toMilliseconds(reader->SilentFor) : 0)}});
 }
@@ -233,8 +233,8 @@
 void FleetTask::logRestore(const ReplicaUpdate &update, std::string_view source) {
   const auto lost = std::ranges::count_if(update.Changes, &StoreItem::IsRemoved);
   Owner.eventLog().write(EventLog::Priority::Important, "store_restored",
-                         {{"old_rev", update.RevisionBefore.text()},
-                          {"rev", Fleet.revision().text()},
+                         {revisionField("old_rev", update.RevisionBefore),
+                          revisionField("rev", Fleet.revision()),
                           {"keys_lost", fmt::format("{}", lost)},
                           {"keys_changed", fmt::format("{}", std::ssize(update.Changes) - lost)},
                           {"from", std::string{source}}});
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -101,7 +101,7 @@
   if (!configuration.ok()) {
     Log.write(EventLog::Priority::Important, "plan_rejected",
               {{"why", std::string{configuration.status().message()}},
-               {"rev", item.Revision.text()},
+               revisionField("rev", item.Revision),
                {"from", std::string{source}}});
     return;
   }
@@ -111,7 +111,7 @@
   Log.write(EventLog::Priority::Important, isTaken ? "plan_taken" : "plan_older",
             {{"version", fmt::format("{}", version)},
              {"routes", fmt::format("{}", routes)},
-             {"rev", item.Revision.text()},
+             revisionField("rev", item.Revision),
              {"from", std::string{source}}});
 }
 
@@ -123,7 +123,7 @@
       return false;
     Log.write(EventLog::Priority::Important,
               item.IsRemoved ? "upstream_gone" : "upstream_unreadable",
-              {{"up", std::string{id}}, {"rev", item.Revision.text()}});
+              {{"up", std::string{id}}, revisionField("rev", item.Revision)});
     return true;
   }
   const UpstreamRecord copy = *record;
@@ -136,7 +136,7 @@
             {{"up", copy.Id},
              {"svc", copy.Service},
              {"addr", copy.Address},
-             {"rev", item.Revision.text()}});
+             revisionField("rev", item.Revision)});
   return true;
 }
 
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -24,6 +24,11 @@
 
 namespace wigeonlift {
 
+/// A text with the era, since `1.10` and `1.1` are the same number. A plain number in era 0.
+inline LogField revisionField(std::string_view name, StoreRevision revision) {
+  return {.Name = name, .Value = revision.text(), .IsText = revision.Era > 0};
+}
+
 /// Counts of answers, for metrics.
 struct GatewayCounts {
   std::uint64_t Relayed = 0;
--- a/Services/Gateway/StoreTask.cpp
+++ b/Services/Gateway/StoreTask.cpp
@@ -96,7 +96,7 @@
   Owner.eventLog().write(EventLog::Priority::Important, "store_call_failed",
                          {{"call", std::string{call}},
                           {"why", status.ToString()},
-                          {"rev", Peers.replica().revision().text()}});
+                          revisionField("rev", Peers.replica().revision())});
   Peers.publish(Sync.didFail(failureOf(status), bootTimeNow()), "store");
 }
 
--- a/Tests/LibTelemetry/TestEventLog.cpp
+++ b/Tests/LibTelemetry/TestEventLog.cpp
@@ -92,9 +92,13 @@
   const Pipe pipe;
   EventLog log{pipe.writeEnd(), "vm"};
   log.write(EventLog::Priority::Important, "rejected",
-            {{"path", "/a\"b\\c\n"}, {"status", "404"}, {"id", "007"}, {"left", "-1.5"}});
+            {{"path", "/a\"b\\c\n"},
+             {"status", "404"},
+             {"id", "007"},
+             {"left", "-1.5"},
+             {"rev", "1.10", true}});
   log.flush();
   const std::string text = pipe.readAvailable();
   EXPECT_NE(text.find(R"("path":"/a\"b\\c\u000a")"), std::string::npos);
-  EXPECT_NE(text.find(R"("status":404,"id":"007","left":-1.5)"), std::string::npos);
+  EXPECT_NE(text.find(R"("status":404,"id":"007","left":-1.5,"rev":"1.10")"), std::string::npos);
 }
