soak: Restore the store from older copies

The operator and the upstreams write again within 2 s what was lost; entries of upstreams that are gone run out. The judge excuses a restore like another fault of the store, and the upstream concerned until it has written again. Not excused are VMs that go back behind a configuration that they served, and VMs that send to an upstream of whose draining they knew before.

--- a/Meta/soak/__main__.py
+++ b/Meta/soak/__main__.py
@@ -16,6 +16,7 @@
 from .judge import CONFIG_S, SLACK_S, Judge
 from .plan import Plan, configuration
 from .relay import Relay
+from .restores import Restores
 from .silence import Silence
 from .store import Store
 from .upstream import Upstream, new_random
@@ -63,6 +64,8 @@
             await self.add_upstream(upstream.service, upstream.zone)
 
     async def run(self):
+        if self.options.restores:
+            self.store.era = 0
         await self.store.start(self.fleet.vms)
         self.store.put("op/config", configuration([1], self.services, False))
         self.store.put("servers/other-writer", b"\xff not an entry")
@@ -84,6 +87,8 @@
             faults = () if self.options.calm else (plan.run(until), notices.run(until))
         if self.options.silence:
             faults += (Silence(self, plan, new_random(self.options.seed, "silence")).run(until),)
+        if self.options.restores:
+            faults += (Restores(self, plan, new_random(self.options.seed, "restores")).run(until),)
         await asyncio.gather(*faults, self.watch_configuration(until, plan),
                              *(caller.run(loop_until, 0.2) for caller in callers))
         await self.check_recovery()
@@ -160,6 +165,7 @@
     parser.add_argument("--callers", type=int, default=30)
     parser.add_argument("--calm", action="store_true", help="without faults")
     parser.add_argument("--silence", action="store_true", help="with VMs that fall silent within a second of changes")
+    parser.add_argument("--restores", action="store_true", help="with a store that is restored from older copies")
     parser.add_argument("--patient", action="store_true", help="planned stops only, with callers that have much time")
     parser.add_argument("--log", help="file for what the processes write")
     options = parser.parse_args()
--- a/Meta/soak/plan.py
+++ b/Meta/soak/plan.py
@@ -46,6 +46,8 @@
     def __init__(self, soak, rng):
         self.soak, self.rng, self.judge = soak, rng, soak.judge
         self.versions = [1]
+        # The configuration that was written last.
+        self.written = configuration(self.versions, soak.services, False)
         self.log = []
         # Seconds between the beginnings of two faults.
         self.pause_s = (0.3, 1.5)
@@ -66,6 +68,10 @@
     def version(self):
         return self.versions[-1]
 
+    def marked_versions(self):
+        """Those that have a route of their own in the latest configuration."""
+        return self.versions[-MARKED_VERSIONS:]
+
     async def run(self, until):
         running = []
         while time.monotonic() < until:
@@ -221,8 +227,8 @@
     def write_configuration(self):
         """Returns when the store acknowledged the new version, and the version."""
         self.versions.append(self.version + self.rng.choice((1, 2, 3)))
-        value = configuration(self.versions, self.soak.services, self.rng.random() < 0.5)
-        return self.soak.store.put("op/config", value), self.version
+        self.written = configuration(self.versions, self.soak.services, self.rng.random() < 0.5)
+        return self.soak.store.put("op/config", self.written), self.version
 
     async def change_settings(self):
         vm = self.rng.choice(self.soak.fleet.vms)
--- a/Meta/soak/planted.py
+++ b/Meta/soak/planted.py
@@ -51,6 +51,12 @@
     it.left_at["i-1"] = time.monotonic() - 3
     it.did_run("x", Place, message())
     yield "draining", it
+    # What a VM knew before the store was restored.
+    it = judge()
+    it.left_at["i-1"] = time.monotonic() - 3
+    it.begin_restore()
+    it.did_run("x", Place, message())
+    yield "draining", it
     it = judge()
     it.did_break("x", True)
     yield "graceful-stop", it
--- a/Meta/soak/store.py
+++ b/Meta/soak/store.py
@@ -11,6 +11,8 @@
 
 PAGE_ITEMS = 50
 HANG_S = 3600
+# Copies of the store, of which one may be restored, are kept for so long.
+COPIES_S = 10
 
 
 class Store:
@@ -30,6 +32,10 @@
         self.cut = set()
         self.disturbed_until = 0.0
         self.calls = 0
+        # How often the store was restored. None: a platform without eras, whose answers don't have the header.
+        self.era = None
+        # Copies after each change: time, items, history, revision, forgotten.
+        self.copies = []
 
     def address_for(self, index):
         return f"{self.host}:{self.first_port + index}"
@@ -53,6 +59,10 @@
 
     def record(self, event):
         self.history.append(event)
+        if self.era is not None:
+            now = time.monotonic()
+            self.copies = [it for it in self.copies if it[0] > now - COPIES_S]
+            self.copies.append((now, dict(self.items), list(self.history), self.revision, self.forgotten))
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -62,6 +72,22 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def restore(self, at):
+        """Goes back to the copy of a time, or the oldest one. Returns the keys whose values differ."""
+        before = self.items
+        if not self.copies:
+            return []
+        copy = [it for it in self.copies if it[0] <= at][-1:] or self.copies[:1]
+        _, items, history, self.revision, self.forgotten = copy[0]
+        self.items, self.history = dict(items), list(history)
+        self.era += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return [key for key in {*before, *items} if before.get(key, (None,))[0] != items.get(key, (None,))[0]]
+
+    def response(self, status, body=b""):
+        return wire.response(status, body, {} if self.era is None else {"Store-Era": self.era})
+
     def is_stable(self, now, settle_s):
         return self.fault is None and now - self.disturbed_until > settle_s
 
@@ -95,33 +121,33 @@
             if self.fault == "slow":
                 await asyncio.sleep(0.3)
             else:
-                return wire.response(503 if self.fault == "busy" else 429)
+                return self.response(503 if self.fault == "busy" else 429)
         path, _, text = message.first[1].partition("?")
         query = dict(urllib.parse.parse_qsl(text, keep_blank_values=True))
         if path == "/v1/kv-range":
             return self.page(query)
         if path == "/v1/kv-watch":
             return await self.watch(query)
-        return wire.response(404)
+        return self.response(404)
 
     def page(self, query):
         keys = sorted(k for k in self.items if k.startswith(query.get("prefix", "")) and k > query.get("after", ""))
         items = [{"key": k, "value": base64.b64encode(self.items[k][0]).decode(), "revision": self.items[k][1],
                   "create-revision": self.items[k][1], "lease": 0} for k in keys[:PAGE_ITEMS]]
         body = {"items": items, "has-more": len(keys) > PAGE_ITEMS, "as-of": self.revision}
-        return wire.response(200, json.dumps(body).encode())
+        return self.response(200, json.dumps(body).encode())
 
     async def watch(self, query):
         after = int(query["after"])
         end = time.monotonic() + int(query["wait-ms"]) / 1000
         while True:
-            if after < self.forgotten:
-                return wire.response(410)
+            if after < self.forgotten or after > self.revision:
+                return self.response(410)
             events = [e for e in self.history if e["revision"] > after]
             left = end - time.monotonic()
             if events or left <= 0:
                 body = {"events": events, "as-of": self.revision}
-                return wire.response(200, json.dumps(body).encode())
+                return self.response(200, json.dumps(body).encode())
             try:
                 await asyncio.wait_for(self.changed.wait(), left)
             except asyncio.TimeoutError:
--- a/Meta/soak/upstream.py
+++ b/Meta/soak/upstream.py
@@ -33,12 +33,16 @@
         # What all answers say: requests a second from all VMs, and that the upstream is leaving.
         self.limit = None
         self.leaving = False
+        # What its entry says, and how often it has written it.
+        self.state, self.sequence = "ready", 0
         # Seconds that rejections name.
         self.retry_after_s = 0.0
 
     def entry(self, state="ready"):
+        """The next entry that it writes."""
+        self.state, self.sequence = state, self.sequence + 1
         return {"service": self.service, "address": self.listed_address, "zone": self.zone, "version": "v1",
-                "capacity-slots": SLOTS, "state": state, "warmup-remaining": "0ms", "sequence": 1, "born": 1}
+                "capacity-slots": SLOTS, "state": state, "warmup-remaining": "0ms", "sequence": self.sequence, "born": 1}
 
     async def start(self, host, port):
         self.server = await asyncio.start_server(self.serve, host, port)
