--- a/Tests/Gateway/GatewayFixture.cpp
+++ b/Tests/Gateway/GatewayFixture.cpp
@@ -81,7 +81,8 @@
   EXPECT_TRUE(Callers.start({boost::asio::ip::address_v4::loopback(), 0}).ok());
 }
 
-void GatewayFixture::configure(const std::vector<const PlatformUpstream *> &upstreams) {
+void GatewayFixture::configure(const std::vector<const PlatformUpstream *> &upstreams,
+                               const EntryRemoval &removals) {
   std::vector<StoreItem> items{
       {.Key = std::string{platform::ConfigurationKey}, .Value = Configuration, .Revision = 1}};
   for (const PlatformUpstream *it : upstreams)
@@ -92,7 +93,7 @@
              R"("state":"ready","warmup-remaining":"0ms","sequence":1,"born":1}})",
              it->address()),
          .Revision = items.size() + 1});
-  Core.didLearn(items, "test", {});
+  Core.didLearn(items, "test", removals);
 }
 
 std::shared_ptr<RawCaller> GatewayFixture::connect() {
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -51,7 +51,8 @@
   /// Puts a configuration with the routes `/look/` (safe), `/record/` (unsafe), `/bulk/`
   /// (download) and `/brief/` (safe, its timeout shorter than its objective) of `h.example` in
   /// force, and the upstreams that serve all of them.
-  void configure(const std::vector<const PlatformUpstream *> &upstreams);
+  void configure(const std::vector<const PlatformUpstream *> &upstreams,
+                 const EntryRemoval &removals = {});
   std::shared_ptr<RawCaller> connect();
   /// Sends bytes on a connection of its own and waits for the whole answer or the end.
   std::shared_ptr<RawCaller> ask(const std::string &request);
--- a/Tests/Gateway/TestDataPath.cpp
+++ b/Tests/Gateway/TestDataPath.cpp
@@ -217,6 +217,22 @@
   EXPECT_EQ(statusOf(*caller), 200);
 }
 
+// Guards against a store that is restored from an older copy and takes the configuration or the
+// upstreams out of use, or brings back what had left.
+TEST_F(GatewayFixture, ARestoredStoreChangesNothingThatIsInForce) {
+  PlatformUpstream upstream{Context, "i-1", success};
+  configure({&upstream});
+  const EntryRemoval lost{.Kind = RemovalKind::StoreRestored, .EarliestAt = bootTimeNow()};
+  const std::vector<StoreItem> missing{
+      {.Key = std::string{platform::ConfigurationKey}, .Revision = {1, 1}, .IsRemoved = true},
+      {.Key = "servers/i-1", .Revision = {1, 1}, .IsRemoved = true}};
+  Core.didLearn(missing, "test", lost);
+  EXPECT_EQ(statusOf(*ask(callerRequest("GET", "/look/1", "attempt-1"))), 200);
+  Core.didLearn(missing, "test", {});
+  configure({&upstream}, lost);
+  EXPECT_TRUE(Core.upstreams().upstreams().empty());
+}
+
 // Guards against a second request that is smuggled inside another one's body.
 TEST_F(GatewayFixture, AmbiguousRequestsReachNoUpstream) {
   PlatformUpstream upstream{Context, "i-1", success};
