--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -43,6 +43,8 @@
   case RemovalKind::PossibleLeaseExpiry:
   case RemovalKind::ProbableLeaseExpiry:
     return OrderRemoval::Removed;
+  case RemovalKind::StoreRestored:
+    return OrderRemoval::LostByRestore;
   }
   return OrderRemoval::Removed;
 }
@@ -79,6 +81,8 @@
   bool hasChangedWarmup = false;
   // Hundreds of lines would delay the first requests of a small VM.
   IsLoading = !Plans.current();
+  if (removals.Kind == RemovalKind::StoreRestored)
+    Upstreams.didRestoreStore(now);
   for (const StoreItem &it : changes) {
     if (it.Key == platform::ConfigurationKey) {
       didLearnPlan(it, source);
@@ -132,7 +136,7 @@
   if (!configuration.ok()) {
     Log.write(EventLog::Priority::Important, "plan_rejected",
               {{"why", std::string{configuration.status().message()}},
-               {"rev", fmt::format("{}", item.Revision)},
+               revisionField("rev", item.Revision),
                {"from", std::string{source}}});
     return;
   }
@@ -142,7 +146,7 @@
   Log.write(EventLog::Priority::Important, isTaken ? "plan_taken" : "plan_older",
             {{"version", fmt::format("{}", version)},
              {"routes", fmt::format("{}", routes)},
-             {"rev", fmt::format("{}", item.Revision)},
+             revisionField("rev", item.Revision),
              {"from", std::string{source}}});
 }
 
@@ -154,7 +158,7 @@
       return false;
     Log.write(EventLog::Priority::Important,
               item.IsRemoved ? "upstream_gone" : "upstream_unreadable",
-              {{"up", std::string{id}}, {"rev", fmt::format("{}", item.Revision)}});
+              {{"up", std::string{id}}, revisionField("rev", item.Revision)});
     return true;
   }
   const UpstreamRecord copy = *record;
@@ -162,7 +166,10 @@
   // of unknown upstreams are ignored here.
   if (const auto task = service(copy.Service))
     hasChangedWarmup |= task->didWriteWarmup(copy);
-  if (!Upstreams.didWrite(*std::move(record), now))
+  const bool isRestored = removal.Kind == RemovalKind::StoreRestored;
+  const bool hasChanged = isRestored ? Upstreams.didRestore(*std::move(record), now)
+                                     : Upstreams.didWrite(*std::move(record), now);
+  if (!hasChanged)
     return false;
   if (IsLoading)
     return true;
@@ -170,18 +177,18 @@
             {{"up", copy.Id},
              {"svc", copy.Service},
              {"addr", copy.Address},
-             {"rev", fmt::format("{}", item.Revision)}});
+             revisionField("rev", item.Revision)});
   return true;
 }
 
 bool Gateway::didLearnEvacuation(const StoreItem &item, const EntryRemoval &removal,
                                  TimePoint now) {
   const auto name = platform::evacuatedDataCentreOf(item.Key);
-  const std::string revision = fmt::format("{}", item.Revision);
   if (!name) {
     if (!item.IsRemoved)
-      Log.write(EventLog::Priority::Important, "evacuation_unreadable",
-                {{"key", item.Key.substr(0, MaxLoggedKeyBytes)}, {"rev", revision}});
+      Log.write(
+          EventLog::Priority::Important, "evacuation_unreadable",
+          {{"key", item.Key.substr(0, MaxLoggedKeyBytes)}, revisionField("rev", item.Revision)});
     return false;
   }
   const bool hasChanged = item.IsRemoved ? Evacuated.didEnd(*name, orderRemovalOf(removal), now)
@@ -192,7 +199,7 @@
               isMissing        ? "evacuation_missing"
               : item.IsRemoved ? "evacuation_ended"
                                : "evacuation_began",
-              {{"dc", std::string{*name}}, {"rev", revision}});
+              {{"dc", std::string{*name}}, revisionField("rev", item.Revision)});
   return hasChanged;
 }
 
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -24,6 +24,11 @@
 
 namespace wigeonlift {
 
+/// A text with the era, since `1.10` and `1.1` are the same number. A plain number in era 0.
+inline LogField revisionField(std::string_view name, StoreRevision revision) {
+  return {.Name = name, .Value = revision.text(), .IsText = revision.Era > 0};
+}
+
 /// Counts of answers, for metrics.
 struct GatewayCounts {
   std::uint64_t Relayed = 0;
@@ -42,7 +47,8 @@
   Gateway(boost::asio::io_context &context, const GatewaySettings &settings, EventLog &log,
           std::uint64_t seed);
 
-  /// Takes over keys of the store that have changed.
+  /// Takes over keys of the store that have changed. If `removals` are of the kind `StoreRestored`,
+  /// all changes are those of a store that was restored from an older copy.
   void didLearn(std::span<const StoreItem> changes, std::string_view source,
                 const EntryRemoval &removals);
   void setSettings(const GatewaySettings &settings);
--- a/Tests/Gateway/GatewayFixture.cpp
+++ b/Tests/Gateway/GatewayFixture.cpp
@@ -88,13 +88,14 @@
   EXPECT_TRUE(Callers.start({boost::asio::ip::address_v4::loopback(), 0}).ok());
 }
 
-void GatewayFixture::configure(const std::vector<const PlatformUpstream *> &upstreams) {
+void GatewayFixture::configure(const std::vector<const PlatformUpstream *> &upstreams,
+                               const EntryRemoval &removals) {
   std::vector<StoreItem> items{
       {.Key = std::string{platform::ConfigurationKey}, .Value = Configuration, .Revision = 1}};
   for (const PlatformUpstream *it : upstreams)
     items.push_back(
         {.Key = "servers/" + it->id(), .Value = entryOf(*it, "0ms"), .Revision = items.size() + 1});
-  Core.didLearn(items, "test", {});
+  Core.didLearn(items, "test", removals);
 }
 
 void GatewayFixture::learnEvacuations(const std::map<std::string, bool> &isOrdered) {
@@ -108,7 +109,7 @@
 }
 
 void GatewayFixture::limitWarmups(double requestsPerSecond) {
-  GatewaySettings settings = testSettings();
+  GatewaySettings settings = Core.settings();
   settings.Bounds.WarmupOverage = 1.5;
   settings.Bounds.WarmupTolerance = 8;
   Core.setSettings(settings);
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -56,7 +56,8 @@
   /// Puts a configuration with the routes `/look/` (safe), `/record/` (unsafe), `/bulk/`
   /// (download) and `/brief/` (safe, its timeout shorter than its objective) of `h.example` in
   /// force, and the upstreams that serve all of them.
-  void configure(const std::vector<const PlatformUpstream *> &upstreams);
+  void configure(const std::vector<const PlatformUpstream *> &upstreams,
+                 const EntryRemoval &removals = {});
   /// Writes (true) or removes (false) orders to evacuate data centres, in one update.
   void learnEvacuations(const std::map<std::string, bool> &isOrdered);
   /// Limits the requests to cold upstreams of a configured gateway that is the only one.
@@ -73,7 +74,7 @@
   EventLog Log;
   Gateway Core;
   CallerServer Callers;
-  StoreRevision LastRevision = 100;
+  std::uint64_t LastRevision = 100;
 };
 
 /// A request with an attempt id, a deadline of 2 s and a body if there is one.
