LibBalance: Give way to urgent requests and refuse what can't start in time

A request that lacks room is judged once by PriorityAdmission, a new one behind a measured backlog by QueueForecast, and Retry-After of overload refusals comes from ReturnSchedule. Requests whose callers have waited before (RequestSpec::IsReturning) stay until they can't finish by their deadline, behind timely requests and before late new ones.

--- a/Libraries/LibBalance/Attempts.cpp
+++ b/Libraries/LibBalance/Attempts.cpp
@@ -193,6 +193,10 @@
 
 void ServiceBalancer::refuse(Request &request, FailureKind kind, TimePoint now,
                              BalanceCommands &out) {
+  if (kind == FailureKind::Overloaded || kind == FailureKind::UpstreamRefused)
+    didRejectForRoom(request, now);
+  if (isWaiting(request))
+    Admission.didDecide(request.Spec.Priority, false, now);
   refuse(request, kind, retryAfter(request, kind, now), out);
 }
 
@@ -300,14 +304,19 @@
       now + expectedWork <= request.Spec.Objective ? nextCheck : std::max(silentAt, nextCheck);
 }
 
-Duration ServiceBalancer::retryAfter(const Request &request, FailureKind kind,
-                                     TimePoint now) const {
+Duration ServiceBalancer::retryAfter(const Request &request, FailureKind kind, TimePoint now) {
   // An upstream that sheds part of its load may accept the next request.
   if (kind == FailureKind::UpstreamRefused)
     return ShedRetryAfter;
   const Duration timeLeft = request.Spec.Deadline - now;
   const Duration fractionOfTimeLeft = fromSeconds(RetryAfterShareOfTimeLeft * toSeconds(timeLeft));
-  return std::clamp(fractionOfTimeLeft, MinRetryAfter, MaxRetryAfter);
+  const Duration longest = std::clamp(fractionOfTimeLeft, MinRetryAfter, MaxRetryAfter);
+  if (kind != FailureKind::Overloaded)
+    return longest;
+  const std::size_t otherWaiting = Queue.size() - Queue.count(request.Spec.Id);
+  const Duration wait =
+      Returns.didReject(otherWaiting, Forecast.startsPerSecond(now), longest, now);
+  return std::max(wait, MinRetryAfter);
 }
 
 } // namespace wigeonlift
--- a/Libraries/LibBalance/BalanceTypes.h
+++ b/Libraries/LibBalance/BalanceTypes.h
@@ -40,6 +40,9 @@
   int Priority = 0;
   /// Includes the first attempt, retries and hedges.
   int MaxAttempts = 1;
+  /// The caller has waited before, probably because an earlier attempt was rejected. It doesn't
+  /// send the request again, so the request is kept as long as it can finish by its deadline.
+  bool IsReturning = false;
 };
 
 /// Tells the I/O layer to send a request to an upstream.
--- a/Libraries/LibBalance/Placement.cpp
+++ b/Libraries/LibBalance/Placement.cpp
@@ -51,7 +51,8 @@
   const TimePoint lastForDeadline = request.Spec.Deadline - expectedWork;
   // Requests that were attempted stay until they can no longer meet the deadline. Late requests
   // without any attempt are refused well before it, so that the caller has time to retry.
-  if (!request.TriedUpstreams.empty())
+  // Callers that return send the request no further time, so theirs stay as long.
+  if (!request.TriedUpstreams.empty() || request.Spec.IsReturning)
     return lastForDeadline;
   const Duration allowedTime = request.Spec.Deadline - request.Spec.ArrivedAt;
   const TimePoint lastIfLate =
@@ -79,8 +80,9 @@
 }
 
 std::vector<CallId> ServiceBalancer::sortedQueue(TimePoint now) const {
+  enum class Rank : std::uint8_t { Timely, LateReturning, Late };
   struct QueueSortKey {
-    bool IsLate;
+    Rank Order;
     int Priority;
     TimePoint ArrivedAt;
     CallId Id;
@@ -90,7 +92,9 @@
   sortKeys.reserve(Queue.size());
   for (const CallId id : Queue) {
     const Request &it = Requests.at(id);
-    sortKeys.push_back({isLate(it, now), it.Spec.Priority, it.Spec.ArrivedAt, id});
+    const Rank lateRank = it.Spec.IsReturning ? Rank::LateReturning : Rank::Late;
+    sortKeys.push_back({isLate(it, now) ? lateRank : Rank::Timely,
+                        Admission.queuePriority(it.Spec.Priority), it.Spec.ArrivedAt, id});
   }
   std::ranges::sort(sortKeys);
   std::vector<CallId> order;
@@ -105,6 +109,7 @@
 }
 
 void ServiceBalancer::dispatchQueue(TimePoint now, BalanceCommands &out) {
+  observeQueue(now);
   if (Queue.empty())
     return;
   MeanFailureScore = 0;
@@ -139,6 +144,19 @@
     startAttempt(request, *best, now, out);
     return true;
   }
+  if (isBeyondForecast(request, requestsAhead, now)) {
+    ++Counts.RefusedByForecast;
+    refuse(request, FailureKind::Overloaded, now, out);
+    return true;
+  }
+  if (givesWay(request, now)) {
+    ++Counts.RefusedByAdmission;
+    // Not counted as a lack of room, so that it doesn't limit even less urgent requests.
+    Admission.didDecide(request.Spec.Priority, false, now);
+    const Duration wait = retryAfter(request, FailureKind::Overloaded, now);
+    refuse(request, FailureKind::Overloaded, wait, out);
+    return true;
+  }
   if (isAwaitingProbes(now))
     return false;
   const bool hasAcceptable = best && isAcceptable(*best, request, now);
@@ -170,7 +188,12 @@
                                                                          TimePoint now) {
   std::optional<Candidate> result;
   for (auto &[index, view] : Upstreams) {
-    const bool hasRoom = view.outstandingRequests() < view.bestSlotLimit();
+    const int leftFree =
+        request.Spec.IsReturning
+            ? 0
+            : Admission.slotsToLeaveFree(request.Spec.Priority, view.info().FleetKey);
+    const int limit = std::max(1, view.bestSlotLimit() - leftFree);
+    const bool hasRoom = view.outstandingRequests() < limit;
     if (!hasRoom || !view.isFresh(now) || !isEligible(view, request, now) ||
         !Limits.hasRoom(index, now))
       continue;
@@ -254,6 +277,10 @@
   Counts.SentToLimited += attempt.Choice.RateLimit ? 1 : 0;
   Counts.SentToOtherDataCentre += view.info().IsInLocalDataCentre ? 0 : 1;
   view.didSend(id, now);
+  if (isWaiting(request)) {
+    Forecast.didStart(now);
+    Admission.didDecide(request.Spec.Priority, true, now);
+  }
   request.TriedUpstreams.push_back(attempt.Upstream);
   request.RunningAttempts.push_back(id);
   request.IsQueued = false;
--- a/Libraries/LibBalance/ServiceBalancer.cpp
+++ b/Libraries/LibBalance/ServiceBalancer.cpp
@@ -59,6 +59,7 @@
     return;
   it->second.Spec = spec;
   it->second.Spec.Deadline = std::min(spec.Deadline, LatestDeadline);
+  Admission.didArrive(spec.Priority, now);
   if (now >= it->second.Spec.Deadline)
     return refuse(it->second, FailureKind::DeadlineExceeded, now, out);
   if (Upstreams.empty())
@@ -121,6 +122,7 @@
 void ServiceBalancer::didPause() {
   for (auto &[index, view] : Upstreams)
     view.clearReport();
+  Forecast.clear();
 }
 
 void ServiceBalancer::tick(TimePoint now, BalanceCommands &out) {
--- a/Libraries/LibBalance/ServiceBalancer.h
+++ b/Libraries/LibBalance/ServiceBalancer.h
@@ -1,12 +1,16 @@
 #pragma once
 
 #include <LibBalance/BalanceTypes.h>
+#include <LibBalance/PriorityAdmission.h>
+#include <LibBalance/QueueForecast.h>
+#include <LibBalance/ReturnSchedule.h>
 #include <LibBalance/UpstreamLimits.h>
 #include <LibBalance/UpstreamView.h>
 #include <LibBalance/WorkEstimate.h>
 
 #include <LibBudget/LibBudget.h>
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -33,6 +37,10 @@
   /// Probe responses of upstreams that were not slow but had reached their soft slot limit.
   std::uint64_t FullUpstreamProbes = 0;
   std::uint64_t Refusals = 0;
+  /// Of the refusals, those of requests that gave way to more urgent ones.
+  std::uint64_t RefusedByAdmission = 0;
+  /// Of the refusals, those of requests that could not have started in time.
+  std::uint64_t RefusedByForecast = 0;
   /// Attempts placed on an upstream whose estimated slowness was high.
   std::uint64_t SentToSlow = 0;
   /// Attempts placed on an upstream in another data centre.
@@ -67,6 +75,8 @@
 /// such report shows a good upstream, the balancer probes a few upstreams, and the request waits
 /// for the responses. Requests without a good upstream are queued here instead of at the upstreams.
 /// The queue is ordered by priority, with requests that can no longer meet their objective last.
+/// While requests lack room, here or at other VMs, less urgent ones leave room to more urgent ones,
+/// and new ones that can't start in time are refused (docs/design/priority-admission.md).
 class ServiceBalancer {
 public:
   ServiceBalancer(std::uint64_t seed, TimePoint startedAt);
@@ -107,7 +117,14 @@
   /// The upstream has left. What its responses said is forgotten; `setUpstreams` only keeps
   /// requests from it.
   void upstreamLeft(UpstreamIndex upstream) { Limits.forget(upstream); }
-  /// Discards the load reports from before a pause of this process, as they are out of date.
+  /// Another VM said whether requests of this service lack room there.
+  void didHearShortage(std::uint32_t vm, const std::optional<Shortage> &shortage, TimePoint now) {
+    Admission.didHear(vm, shortage, now);
+  }
+  /// The most urgent requests that lack room at this VM, if any.
+  std::optional<Shortage> shortage(TimePoint now) const;
+  /// Discards the load reports and measurements from before a pause of this process, as they are
+  /// out of date.
   void didPause();
 
   void tick(TimePoint now, BalanceCommands &out);
@@ -115,6 +132,7 @@
 
   const BalanceCounts &counts() const { return Counts; }
   const UpstreamLimits &limits() const { return Limits; }
+  const PriorityAdmission &admission() const { return Admission; }
   std::optional<ChoiceInfo> choice(AttemptId id) const;
   Duration meanWorkTime() const { return WorkTimes.mean(); }
   double typicalSlowness() const { return TypicalSlowness; }
@@ -131,6 +149,8 @@
     bool IsQueued = false;
     /// Queued for a hedge while the first attempt still runs.
     bool WantsHedge = false;
+    /// Was not refused when its admission was decided.
+    bool IsAdmitted = false;
     /// Sent attempts that an upstream may have run. Attempts that are known not to have been run
     /// are subtracted.
     int PossibleExecutions = 0;
@@ -194,6 +214,19 @@
   /// The latest time at which an attempt for the request may start before the request is refused.
   TimePoint latestStart(const Request &request) const;
 
+  // Overload.
+  /// Waits for room for its first attempt.
+  static bool isWaiting(const Request &request);
+  /// Waits for longer than the probes take that find room.
+  static bool lacksRoom(const Request &request, TimePoint now);
+  /// A new request that can't start in time behind the requests ahead of it.
+  bool isBeyondForecast(const Request &request, std::size_t requestsAhead, TimePoint now) const;
+  /// Decides, once the request lacks room, whether it gives way to more urgent ones.
+  bool givesWay(Request &request, TimePoint now);
+  /// Updates what is measured of the requests that wait.
+  void observeQueue(TimePoint now);
+  void didRejectForRoom(const Request &request, TimePoint now);
+
   // Probes.
   /// Starts a round of probes and returns their number.
   int sendProbes(const Request &request, TimePoint now, BalanceCommands &out);
@@ -229,7 +262,7 @@
                                TimePoint now);
   /// Sets when to check whether the request needs a hedge.
   void scheduleHedge(Request &request, const Candidate &candidate, TimePoint now);
-  Duration retryAfter(const Request &request, FailureKind kind, TimePoint now) const;
+  Duration retryAfter(const Request &request, FailureKind kind, TimePoint now);
 
   Random Rng;
   std::map<UpstreamIndex, UpstreamView> Upstreams;
@@ -241,6 +274,16 @@
   WorkEstimate WorkTimes;
   RepeatBudget RetryLimiter;
   TokenBucket ProbeRate;
+  PriorityAdmission Admission;
+  QueueForecast Forecast;
+  ReturnSchedule Returns;
+  struct RoomRejection {
+    TimePoint At;
+    int Priority;
+  };
+  /// Rejections for lack of room in the last second.
+  std::deque<RoomRejection> RoomRejections;
+  TimePoint ShortageUpdatedAt{};
   /// Rounds of probes for any request since an attempt was last started.
   int UnsuccessfulProbeRounds = 0;
   /// Number of queued requests that could still meet their objective at the last dispatch.
