LibFleet: Carry shortages of services between VMs

A VM can't know that urgent requests lack room elsewhere. FleetMessage::Shortages names the services that are short at the sender, at most four, and nothing otherwise. Received names and numbers are bounded. encodeDatagram also leaves out states of other VMs when a message would exceed the datagram size, since those alone may come near it.

--- a/Libraries/LibFleet/FleetCodec.cpp
+++ b/Libraries/LibFleet/FleetCodec.cpp
@@ -2,6 +2,8 @@
 
 #include <Fleet.pb.h>
 
+#include <algorithm>
+
 namespace wigeonlift {
 
 namespace {
@@ -9,6 +11,14 @@
 // Decades; larger values would exceed the range of our clocks.
 constexpr std::uint64_t MaxClockMs = 1'000'000'000'000;
 
+// Bounds on received shortages. Larger numbers wouldn't change a decision; services with longer
+// names are not reported.
+constexpr int MaxShortages = 8;
+constexpr std::size_t MaxServiceNameBytes = 64;
+constexpr std::uint32_t MaxPriority = 1000;
+constexpr std::uint32_t MaxShortRequests = 10'000;
+constexpr std::uint32_t MaxShortageAgeMs = 60'000;
+
 enum Flag : std::uint32_t { ReadyFlag = 1, StoppingFlag = 2, StoreDisconnectedFlag = 4 };
 
 void encode(const FleetVm &vm, fleetwire::Vm &out) {
@@ -52,6 +62,43 @@
          in.times().store_down_at_ms() <= MaxClockMs;
 }
 
+bool isBounded(const std::string &service, std::uint32_t priority) {
+  return !service.empty() && service.size() <= MaxServiceNameBytes && priority <= MaxPriority;
+}
+
+std::uint32_t bounded(std::uint32_t number, std::uint32_t most) { return std::min(number, most); }
+
+void encode(const ServiceShortage &shortage, fleetwire::Message &out) {
+  const Shortage &lack = shortage.Lack;
+  if (out.shortages_size() >= MaxShortages ||
+      !isBounded(shortage.Service, static_cast<std::uint32_t>(lack.Priority)))
+    return;
+  auto &wire = *out.add_shortages();
+  wire.set_service(shortage.Service);
+  wire.set_priority(static_cast<std::uint32_t>(lack.Priority));
+  wire.set_waiting(static_cast<std::uint32_t>(lack.Waiting));
+  wire.set_age_ms(static_cast<std::uint32_t>(toMilliseconds(lack.Age)));
+  wire.set_rejections(static_cast<std::uint32_t>(lack.Rejections));
+}
+
+std::vector<ServiceShortage> decodeShortages(const fleetwire::Message &in) {
+  std::vector<ServiceShortage> shortages;
+  for (const auto &it : in.shortages()) {
+    if (shortages.size() >= MaxShortages)
+      break;
+    if (!isBounded(it.service(), it.priority()))
+      continue;
+    const auto age = std::chrono::milliseconds{bounded(it.age_ms(), MaxShortageAgeMs)};
+    shortages.push_back(
+        {.Service = it.service(),
+         .Lack = {.Priority = static_cast<int>(it.priority()),
+                  .Waiting = static_cast<int>(bounded(it.waiting(), MaxShortRequests)),
+                  .Age = age,
+                  .Rejections = static_cast<int>(bounded(it.rejections(), MaxShortRequests))}});
+  }
+  return shortages;
+}
+
 void encode(const StoreDelta &delta, StoreRevision deltaAfter, fleetwire::Delta &out) {
   out.set_complete(delta.IsComplete);
   out.set_after(deltaAfter);
@@ -101,11 +148,27 @@
     out.mutable_times()->set_incarnation(reading->Incarnation);
     out.mutable_times()->set_store_down_at_ms(reading->Ms);
   }
+  for (const ServiceShortage &it : message.Shortages)
+    encode(it, out);
   if (message.Delta)
     encode(*message.Delta, message.DeltaAfter, *out.mutable_delta());
   return out.SerializeAsString();
 }
 
+std::string encodeDatagram(const FleetMessage &message, std::size_t maxBytes) {
+  std::string bytes = encodeFleetMessage(message);
+  if (bytes.size() <= maxBytes)
+    return bytes;
+  FleetMessage smaller = message;
+  smaller.Delta.reset();
+  bytes = encodeFleetMessage(smaller);
+  while (bytes.size() > maxBytes && !smaller.Others.empty()) {
+    smaller.Others.pop_back();
+    bytes = encodeFleetMessage(smaller);
+  }
+  return bytes;
+}
+
 std::optional<FleetMessage> decodeFleetMessage(std::string_view bytes) {
   fleetwire::Message in;
   if (!parse(in, bytes) || in.sender().ip() == 0 || !isPossible(in))
@@ -118,6 +181,7 @@
                        .StoreDownAt = {},
                        .Others = {},
                        .Wanted = decodeWanted(in.wanted()),
+                       .Shortages = decodeShortages(in),
                        .Delta = {},
                        .DeltaAfter = in.delta().after()};
   for (const auto &it : in.others())
--- a/Libraries/LibFleet/FleetMembership.cpp
+++ b/Libraries/LibFleet/FleetMembership.cpp
@@ -39,6 +39,8 @@
 constexpr Duration IsolatedAfter = std::chrono::seconds{2};
 // More than one candidate is notified, since the first one may itself be unreachable.
 constexpr std::size_t NextReadersNotified = 3;
+// Bounds what shortages add to a datagram, which is about 30 bytes each.
+constexpr std::size_t MaxReportedShortages = 4;
 constexpr std::size_t FewLocalReceivers = 2;
 // An earlier outage of the store says nothing about the changes that follow.
 constexpr Duration StoreDownRetention = std::chrono::seconds{10};
@@ -87,9 +89,16 @@
   return datagrams;
 }
 
+void FleetMembership::setShortages(std::vector<ServiceShortage> shortages) {
+  std::ranges::stable_sort(shortages, {}, [](const auto &it) { return it.Lack.Priority; });
+  shortages.resize(std::min(shortages.size(), MaxReportedShortages));
+  Shortages = std::move(shortages);
+}
+
 FleetMessage FleetMembership::messageWithSelf(TimePoint now) const {
   return {.Sender = Self,
-          .SentAtMs = static_cast<std::uint64_t>(toMilliseconds(now.time_since_epoch()))};
+          .SentAtMs = static_cast<std::uint64_t>(toMilliseconds(now.time_since_epoch())),
+          .Shortages = Shortages};
 }
 
 FleetDatagram FleetMembership::addressTo(VmAddress to, FleetMessage message, TimePoint now) const {
--- a/Libraries/LibFleet/FleetMembership.h
+++ b/Libraries/LibFleet/FleetMembership.h
@@ -79,6 +79,8 @@
   void didReachStore(TimePoint time) {
     StoreReachedAt = std::max(time, StoreReachedAt.value_or(time));
   }
+  /// Sets which services are short of room at this VM. All messages carry the most urgent ones.
+  void setShortages(std::vector<ServiceShortage> shortages);
   /// Marks this VM as stopping. Returns messages that directly notify all VMs that are considered
   /// alive.
   std::vector<FleetDatagram> stop(TimePoint now);
@@ -205,6 +207,7 @@
   std::optional<TimePoint> StoreReachedAt;
   std::optional<TimePoint> ReplicaConfirmedAt;
   std::optional<TimePoint> StoreDownAt;
+  std::vector<ServiceShortage> Shortages;
   std::uint64_t TickCount = 0;
   /// Number of other VMs of the own data centre at the last tick, including those that are
   /// considered dead.
--- a/Libraries/LibFleet/FleetMessage.h
+++ b/Libraries/LibFleet/FleetMessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibBase/LibBase.h>
 #include <LibDiscovery/LibDiscovery.h>
 #include <LibFleet/PeerClocks.h>
 #include <LibFleet/VmAddress.h>
@@ -61,6 +62,9 @@
   /// States of VMs other than the sender.
   std::vector<FleetVm> Others{};
   AnswerWanted Wanted = AnswerWanted::None;
+  /// Services that are short of room at the sender, the most urgent ones first. A service that
+  /// isn't named has enough.
+  std::vector<ServiceShortage> Shortages{};
   /// Changes of the store after the revision `DeltaAfter`, or a complete copy of the store.
   std::optional<StoreDelta> Delta{};
   StoreRevision DeltaAfter = 0;
