Gateway: Exchange shortages and show admission in logs and metrics

Connects the shortages of the services to the messages between VMs, marks requests of callers that have waited before, and adds service_short, service_recovered, wigeonlift_admitted_fraction and wigeonlift_rejected_early_total.

--- a/Services/Gateway/FleetTask.cpp
+++ b/Services/Gateway/FleetTask.cpp
@@ -104,6 +104,7 @@
   while (true) {
     const TimePoint now = bootTimeNow();
     Fleet.members().setReady(Owner.isReady());
+    Fleet.members().setShortages(Owner.shortages(now));
     publish(Fleet.tick(now), "peer");
     logReplicaAge(now);
     Owner.setBudgetShare(Fleet.members().budgetShare(now));
@@ -154,6 +155,8 @@
 void FleetTask::handle(const FleetMessage &message) {
   const TimePoint now = bootTimeNow();
   publish(Fleet.didReceive(message, now), "peer");
+  if (message.Sender.Ip != members().self().Ip)
+    Owner.didHearShortages(message.Sender.Ip, message.Shortages, now);
   if (!IsCatchingUp && Fleet.members().isBehind(now)) {
     IsCatchingUp = true;
     asio::co_spawn(Owner.context(), catchUp(),
@@ -233,12 +236,7 @@
 }
 
 void FleetTask::sendOne(const FleetDatagram &send) {
-  std::string bytes = encodeFleetMessage(send.Message);
-  if (bytes.size() > MaxDatagramBytes && send.Message.Delta) {
-    FleetMessage smaller = send.Message;
-    smaller.Delta.reset();
-    bytes = encodeFleetMessage(smaller);
-  }
+  const std::string bytes = encodeDatagram(send.Message, MaxDatagramBytes);
   const asio::ip::udp::endpoint to{asio::ip::address_v4{send.To},
                                    static_cast<std::uint16_t>(Owner.settings().FirstInternalPort)};
   boost::system::error_code ec;
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -153,6 +153,22 @@
     task->setShareAssignment(Shares);
 }
 
+std::vector<ServiceShortage> Gateway::shortages(TimePoint now) {
+  std::vector<ServiceShortage> result;
+  for (const auto &[name, task] : Services)
+    if (const auto shortage = task->checkShortage(now))
+      result.push_back({.Service = name, .Lack = *shortage});
+  return result;
+}
+
+void Gateway::didHearShortages(std::uint32_t vm, std::span<const ServiceShortage> shortages,
+                               TimePoint now) {
+  for (const auto &[name, task] : Services) {
+    const auto it = std::ranges::find(shortages, name, &ServiceShortage::Service);
+    task->didHearShortage(vm, it == shortages.end() ? std::nullopt : std::optional{it->Lack}, now);
+  }
+}
+
 void Gateway::refreshServices() {
   if (!Plans.current())
     return;
@@ -214,6 +230,8 @@
              {"hedges", number(counts.Hedges)},
              {"hedge_wins", number(counts.HedgeWins)},
              {"refused", number(counts.Refusals)},
+             {"refused_admission", number(counts.RefusedByAdmission)},
+             {"refused_forecast", number(counts.RefusedByForecast)},
              {"probes", number(counts.Probes)},
              {"probes_slow", number(counts.SlowUpstreamProbes)},
              {"probes_full", number(counts.FullUpstreamProbes)},
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -17,10 +17,12 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <span>
 #include <string>
+#include <vector>
 
 namespace wigeonlift {
 
@@ -50,6 +52,11 @@
   void setBudgetShare(double share);
   /// Sets which shares of the rate limits of upstreams this VM holds.
   void setShareAssignment(ShareAssignment assignment);
+  /// The services that are short of room at this VM. Logs when one becomes short or recovers.
+  std::vector<ServiceShortage> shortages(TimePoint now);
+  /// Another VM named all services that are short of room there.
+  void didHearShortages(std::uint32_t vm, std::span<const ServiceShortage> shortages,
+                        TimePoint now);
   /// Begins a graceful stop. Requests that wait anywhere in this process are answered in its time.
   void beginStop(TimePoint now);
   /// Notices pauses of the process, drops what has expired and closes idle connections.
--- a/Services/Gateway/Ports.cpp
+++ b/Services/Gateway/Ports.cpp
@@ -56,6 +56,17 @@
        [](const ServiceTask &it) { return it.balancer().counts().Refusals; });
   each("wigeonlift_sent_to_slow_total",
        [](const ServiceTask &it) { return it.balancer().counts().SentToSlow; });
+  const auto rejections = [&](std::string_view reason, std::uint64_t BalanceCounts::*count) {
+    for (const auto &[service, task] : gateway.services())
+      text.counter("wigeonlift_rejected_early_total", {{"service", service}, {"reason", reason}},
+                   static_cast<double>(task->balancer().counts().*count));
+  };
+  rejections("admission", &BalanceCounts::RefusedByAdmission);
+  rejections("forecast", &BalanceCounts::RefusedByForecast);
+  for (const auto &[service, task] : gateway.services())
+    for (const auto &[priority, fraction] : task->balancer().admission().admittedFractions())
+      text.gauge("wigeonlift_admitted_fraction",
+                 {{"service", service}, {"priority", fmt::format("{}", priority)}}, fraction);
   for (const auto &[service, task] : gateway.services()) {
     text.gauge("wigeonlift_queued", {{"service", service}},
                static_cast<double>(task->balancer().queuedRequests()));
--- a/Services/Gateway/RequestIntake.cpp
+++ b/Services/Gateway/RequestIntake.cpp
@@ -147,7 +147,8 @@
           .Objective = ArrivedAt + target - RequestWay - AnswerWay - waited,
           .Deadline = deadline,
           .Priority = route.Priority,
-          .MaxAttempts = route.MaxAttempts};
+          .MaxAttempts = route.MaxAttempts,
+          .IsReturning = waited > Duration::zero()};
 }
 
 asio::awaitable<bool> RequestIntake::receive(const Route &route, PendingRequest &pending) {
--- a/Services/Gateway/RequestLog.cpp
+++ b/Services/Gateway/RequestLog.cpp
@@ -110,6 +110,20 @@
             {{"svc", std::string{service}}, {"up", std::string{upstream}}, {"ms", ms(duration)}});
 }
 
+void RequestLog::didBecomeShort(std::string_view service, const Shortage &shortage) {
+  Log.write(EventLog::Priority::Important, "service_short",
+            {{"svc", std::string{service}},
+             {"priority", fmt::format("{}", shortage.Priority)},
+             {"waiting", fmt::format("{}", shortage.Waiting)},
+             {"age_ms", ms(shortage.Age)},
+             {"rejected", fmt::format("{}", shortage.Rejections)}});
+}
+
+void RequestLog::didRecover(std::string_view service, Duration shortFor) {
+  Log.write(EventLog::Priority::Important, "service_recovered",
+            {{"svc", std::string{service}}, {"short_ms", ms(shortFor)}});
+}
+
 void RequestLog::didAnnounceLeaving(std::string_view service, std::string_view upstream) {
   Log.write(EventLog::Priority::Important, "upstream_leaving",
             {{"svc", std::string{service}}, {"up", std::string{upstream}}});
--- a/Services/Gateway/RequestLog.h
+++ b/Services/Gateway/RequestLog.h
@@ -29,6 +29,10 @@
   void didAskToStayAway(std::string_view service, std::string_view upstream, Duration duration);
   /// An upstream has said in a response that it is leaving.
   void didAnnounceLeaving(std::string_view service, std::string_view upstream);
+  /// Requests of a service lack room at this VM.
+  void didBecomeShort(std::string_view service, const Shortage &shortage);
+  /// No request of the service has lacked room for a while.
+  void didRecover(std::string_view service, Duration shortFor);
 
 private:
   EventLog &Log;
--- a/Services/Gateway/ServiceTask.cpp
+++ b/Services/Gateway/ServiceTask.cpp
@@ -97,6 +97,26 @@
     useSubset();
 }
 
+std::optional<Shortage> ServiceTask::checkShortage(TimePoint now) {
+  auto shortage = Balancer.shortage(now);
+  if (shortage) {
+    LastShortAt = now;
+    if (!ShortSince) {
+      ShortSince = now;
+      Log.didBecomeShort(Name, *shortage);
+    }
+  } else if (ShortSince && now - LastShortAt >= PriorityAdmission::ReportLifetime) {
+    Log.didRecover(Name, now - *ShortSince);
+    ShortSince.reset();
+  }
+  return shortage;
+}
+
+void ServiceTask::didHearShortage(std::uint32_t vm, const std::optional<Shortage> &shortage,
+                                  TimePoint now) {
+  Balancer.didHearShortage(vm, shortage, now);
+}
+
 void ServiceTask::useSubset() {
   const TimePoint now = bootTimeNow();
   BalanceCommands out;
--- a/Services/Gateway/ServiceTask.h
+++ b/Services/Gateway/ServiceTask.h
@@ -13,6 +13,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -55,6 +56,11 @@
   /// The part of the fleet's requests that this VM gets, from 0 to 1.
   void setRequestShare(double share);
   void setShareAssignment(const ShareAssignment &assignment);
+  /// The most urgent requests that lack room at this VM, if any. Logs when the service becomes
+  /// short and when it has recovered.
+  std::optional<Shortage> checkShortage(TimePoint now);
+  /// Another VM said whether requests of the service lack room there.
+  void didHearShortage(std::uint32_t vm, const std::optional<Shortage> &shortage, TimePoint now);
   /// Sets when all requests must have been answered, those that are in progress and later ones.
   void setLatestDeadline(TimePoint latest);
 
@@ -99,6 +105,9 @@
   LeavingUpstreams Leaving;
   /// Upstreams whose last response named a limit that can't be read. Logged once each.
   std::set<UpstreamIndex> UnreadableLimits;
+  /// When the service became short of room, if it has not recovered, and when it last was short.
+  std::optional<TimePoint> ShortSince;
+  TimePoint LastShortAt{};
   double RequestShare = 1;
   std::string HealthPath = "/health";
   int ConnectionLimit = 64;
