LibBalance: Let late requests leave room to timely ones at other VMs

In a model of a fleet, late requests of callers that return took the slots that were left free for urgent requests, and those of timely requests at other VMs. While a service with several priorities is short anywhere, late requests now leave one slot of each upstream free for three quarters of their time. Rejections by admission fall off more gently than the slots left free, since a request that is rejected is late when it returns. setOverloadControl turns all of this off for comparisons.

--- a/Libraries/LibBalance/Overload.cpp
+++ b/Libraries/LibBalance/Overload.cpp
@@ -11,6 +11,10 @@
 // Shorter than the time in which the admitted fractions change, and much longer than the interval
 // between two events under load.
 constexpr Duration ShortageInterval = std::chrono::milliseconds{10};
+// Late requests leave room to others for this part of the time in which they may start. Over the
+// whole of it, most of those whose callers have returned were rejected again; with half, more
+// requests became late (model in Tests/LibBalance/OverloadedFleet.h).
+constexpr double PatientFraction = 0.75;
 constexpr Duration RejectionSpan = std::chrono::seconds{1};
 // Bounds the memory for rejections. More than these don't change a decision.
 constexpr std::size_t MaxRoomRejections = 1000;
@@ -49,7 +53,15 @@
   return result;
 }
 
+void ServiceBalancer::didHearShortage(std::uint32_t vm, const std::optional<Shortage> &shortage,
+                                      TimePoint now) {
+  if (HasOverloadControl)
+    Admission.didHear(vm, shortage, now);
+}
+
 void ServiceBalancer::observeQueue(TimePoint now) {
+  if (!HasOverloadControl)
+    return;
   while (!RoomRejections.empty() && now - RoomRejections.front().At >= RejectionSpan)
     RoomRejections.pop_front();
   Forecast.setBacklog(
@@ -75,6 +87,13 @@
   return start && *start > latestStart(request);
 }
 
+bool ServiceBalancer::leavesRoomToTimely(const Request &request, TimePoint now) const {
+  if (!Admission.isShort() || !isLate(request, now))
+    return false;
+  const Duration longestWait = latestStart(request) - request.Spec.ArrivedAt;
+  return now < request.Spec.ArrivedAt + fromSeconds(PatientFraction * toSeconds(longestWait));
+}
+
 bool ServiceBalancer::givesWay(Request &request, TimePoint now) {
   if (request.IsAdmitted || request.Spec.IsReturning || !lacksRoom(request, now))
     return false;
--- a/Libraries/LibBalance/Placement.cpp
+++ b/Libraries/LibBalance/Placement.cpp
@@ -187,11 +187,11 @@
 std::optional<ServiceBalancer::Candidate> ServiceBalancer::bestCandidate(const Request &request,
                                                                          TimePoint now) {
   std::optional<Candidate> result;
+  const bool givesTimelyPrecedence = leavesRoomToTimely(request, now);
   for (auto &[index, view] : Upstreams) {
-    const int leftFree =
-        request.Spec.IsReturning
-            ? 0
-            : Admission.slotsToLeaveFree(request.Spec.Priority, view.info().FleetKey);
+    const int leftFree = givesTimelyPrecedence ? 1
+                                               : Admission.slotsToLeaveFree(request.Spec.Priority,
+                                                                            view.info().FleetKey);
     const int limit = std::max(1, view.bestSlotLimit() - leftFree);
     const bool hasRoom = view.outstandingRequests() < limit;
     if (!hasRoom || !view.isFresh(now) || !isEligible(view, request, now) ||
--- a/Libraries/LibBalance/PriorityAdmission.cpp
+++ b/Libraries/LibBalance/PriorityAdmission.cpp
@@ -11,9 +11,6 @@
 // report, and services have two or three priorities.
 constexpr std::size_t MaxReports = 256;
 constexpr std::size_t MaxPriorities = 16;
-// The admitted fraction is 1 less this multiple of the fraction of the room that urgent requests
-// lack. Above 1, since part of the room that is left goes to requests that arrive later.
-constexpr double ShortageGain = 2.0;
 // Every kind keeps well over a quarter of what all kinds get.
 constexpr double MinAdmitted = 0.4;
 constexpr double FallSeconds = 0.5;
@@ -24,6 +21,9 @@
 // Fraction of the upstreams at which a slot is left free, at most. Each costs less urgent requests
 // up to a third of the upstream's room.
 constexpr double MaxUpstreamsWithFreeSlot = 0.5;
+// Multiple of the fraction that isn't admitted. Room that is left free serves urgent requests
+// better than rejections do, which make requests late that could have been on time.
+constexpr double FreeSlotGain = 2.0;
 constexpr double DecaySeconds = 4.0;
 // In a shorter time, a few starts would look like a high rate.
 constexpr double MinCountedSeconds = 0.5;
@@ -67,7 +67,7 @@
 void PriorityAdmission::adjust(int priority, PriorityState &state, double elapsedSeconds) const {
   const double lack = isStarved(priority) ? 0 : lackOfMoreUrgent(priority);
   const double shortFraction = lack > 0 ? lack / (lack + startsFrom(priority)) : 0;
-  const double target = std::max(MinAdmitted, 1 - ShortageGain * shortFraction);
+  const double target = std::max(MinAdmitted, 1 - shortFraction);
   if (target < state.Admitted)
     state.Admitted += (target - state.Admitted) *
                       (1 - std::exp(-std::min(elapsedSeconds, MaxFallStepSeconds) / FallSeconds));
@@ -96,7 +96,7 @@
 
 double PriorityAdmission::admittedFraction(int priority) const {
   const auto it = Priorities.find(priority);
-  return it == Priorities.end() || isStarved(priority) ? 1 : it->second.Admitted;
+  return it == Priorities.end() ? 1 : it->second.Admitted;
 }
 
 bool PriorityAdmission::admit(int priority) {
@@ -118,11 +118,19 @@
   });
   if (!isShortElsewhere)
     return 0;
-  const double part = std::min(MaxUpstreamsWithFreeSlot, 1 - admittedFraction(priority));
+  const double part =
+      std::min(MaxUpstreamsWithFreeSlot, FreeSlotGain * (1 - admittedFraction(priority)));
   // The keys are evenly distributed hashes.
   return static_cast<double>(fleetKey) * 0x1.0p-64 < part ? 1 : 0;
 }
 
+bool PriorityAdmission::isShort() const {
+  if (Priorities.size() < 2)
+    return false;
+  return OwnShortage ||
+         std::ranges::any_of(Reports, [](const auto &it) { return it.second.Lack.has_value(); });
+}
+
 bool PriorityAdmission::isStarved(int priority) const {
   const auto it = Priorities.find(priority);
   if (it == Priorities.end())
--- a/Libraries/LibBalance/PriorityAdmission.h
+++ b/Libraries/LibBalance/PriorityAdmission.h
@@ -38,8 +38,10 @@
   /// The number of slots of an upstream that requests of this priority leave free for more urgent
   /// ones at other VMs. `fleetKey` identifies the upstream in the same way on all VMs.
   int slotsToLeaveFree(int priority, std::uint64_t fleetKey) const;
-  /// Whether far fewer of these requests start than of all requests. They are admitted like the
-  /// most urgent then.
+  /// Whether requests lack room at this VM or at others, at a service with several priorities.
+  bool isShort() const;
+  /// Whether far fewer of these requests start than of all requests. Their admitted fraction rises
+  /// then, and they are queued like the most urgent.
   bool isStarved(int priority) const;
   /// The priority by which a request is queued.
   int queuePriority(int priority) const;
--- a/Libraries/LibBalance/QueueForecast.cpp
+++ b/Libraries/LibBalance/QueueForecast.cpp
@@ -16,7 +16,7 @@
 // The number of starts scatters about its mean with its square root. A forecast assumes a rate that
 // is higher than the measured one by this many standard deviations, since a request that is wrongly
 // rejected is lost, and one that is wrongly kept is rejected a little later.
-constexpr double MarginDeviations = 2.0;
+constexpr double MarginDeviations = 3.0;
 
 } // namespace
 
--- a/Libraries/LibBalance/ServiceBalancer.cpp
+++ b/Libraries/LibBalance/ServiceBalancer.cpp
@@ -59,7 +59,9 @@
     return;
   it->second.Spec = spec;
   it->second.Spec.Deadline = std::min(spec.Deadline, LatestDeadline);
-  Admission.didArrive(spec.Priority, now);
+  it->second.Spec.IsReturning = spec.IsReturning && HasOverloadControl;
+  if (HasOverloadControl)
+    Admission.didArrive(spec.Priority, now);
   if (now >= it->second.Spec.Deadline)
     return refuse(it->second, FailureKind::DeadlineExceeded, now, out);
   if (Upstreams.empty())
--- a/Libraries/LibBalance/ServiceBalancer.h
+++ b/Libraries/LibBalance/ServiceBalancer.h
@@ -83,6 +83,10 @@
 
   /// Replaces the set of upstreams that are eligible for new requests.
   void setUpstreams(std::span<const UpstreamInfo> upstreams, TimePoint now, BalanceCommands &out);
+  /// Whether less urgent requests give way to more urgent ones, requests are refused by forecast,
+  /// and those of callers that return are kept. On by default; off, overload is handled by the
+  /// order of the queue only.
+  void setOverloadControl(bool isEnabled) { HasOverloadControl = isEnabled; }
   /// Limits the retries and hedges in each sliding window of length `window` to `allowance` plus
   /// the fraction `ratio` of the requests that arrived in it. The allowance applies only once one
   /// window has passed since the start time that the constructor was given.
@@ -118,9 +122,7 @@
   /// requests from it.
   void upstreamLeft(UpstreamIndex upstream) { Limits.forget(upstream); }
   /// Another VM said whether requests of this service lack room there.
-  void didHearShortage(std::uint32_t vm, const std::optional<Shortage> &shortage, TimePoint now) {
-    Admission.didHear(vm, shortage, now);
-  }
+  void didHearShortage(std::uint32_t vm, const std::optional<Shortage> &shortage, TimePoint now);
   /// The most urgent requests that lack room at this VM, if any.
   std::optional<Shortage> shortage(TimePoint now) const;
   /// Discards the load reports and measurements from before a pause of this process, as they are
@@ -223,6 +225,9 @@
   bool isBeyondForecast(const Request &request, std::size_t requestsAhead, TimePoint now) const;
   /// Decides, once the request lacks room, whether it gives way to more urgent ones.
   bool givesWay(Request &request, TimePoint now);
+  /// Whether the request is late and leaves a slot of each upstream free for requests at any VM
+  /// that can be on time.
+  bool leavesRoomToTimely(const Request &request, TimePoint now) const;
   /// Updates what is measured of the requests that wait.
   void observeQueue(TimePoint now);
   void didRejectForRoom(const Request &request, TimePoint now);
@@ -274,6 +279,7 @@
   WorkEstimate WorkTimes;
   RepeatBudget RetryLimiter;
   TokenBucket ProbeRate;
+  bool HasOverloadControl = true;
   PriorityAdmission Admission;
   QueueForecast Forecast;
   ReturnSchedule Returns;
