--- a/Tests/LibFleet/TestFleet.cpp
+++ b/Tests/LibFleet/TestFleet.cpp
@@ -336,4 +336,50 @@
   }));
 }
 
+// Guards against datagrams above the MTU while services are short, and against shortages that are
+// lost on the way or sent while there are none.
+TEST(FleetCodec, DatagramsCarryShortagesWithinTheirSize) {
+  constexpr std::size_t maxBytes = 1300;
+  Network net{109, 4};
+  net.run(std::chrono::seconds{8});
+  FleetMembership &vm = net.vm(1);
+  for (const FleetDatagram &it : vm.tick(net.Now))
+    EXPECT_TRUE(it.Message.Shortages.empty());
+  std::vector<ServiceShortage> shortages;
+  for (int n = 0; n < 6; ++n)
+    shortages.push_back({.Service = std::string(60, static_cast<char>('a' + n)),
+                         .Lack = {.Priority = 5 - n,
+                                  .Waiting = 9000,
+                                  .Age = std::chrono::milliseconds{2500},
+                                  .Rejections = 9000}});
+  vm.setShortages(shortages);
+  for (const FleetDatagram &it : vm.tick(net.Now)) {
+    const std::string bytes = encodeDatagram(it.Message, maxBytes);
+    EXPECT_LE(bytes.size(), maxBytes);
+    const auto decoded = decodeFleetMessage(bytes);
+    ASSERT_TRUE(decoded);
+    EXPECT_GE(decoded->Others.size(), 10U);
+    EXPECT_EQ(decoded->Shortages,
+              (std::vector{shortages[5], shortages[4], shortages[3], shortages[2]}));
+  }
+}
+
+// Guards against received shortages that use much memory or distort decisions.
+TEST(FleetCodec, BoundsReceivedShortages) {
+  FleetMessage message;
+  message.Sender.Ip = 1;
+  message.Shortages = {{.Service = std::string(65, 'a'), .Lack = {}},
+                       {.Service = "", .Lack = {}},
+                       {.Service = "a", .Lack = {.Priority = -1}},
+                       {.Service = "b", .Lack = {.Waiting = 2'000'000'000, .Rejections = -1}}};
+  for (int n = 0; n < 20; ++n)
+    message.Shortages.push_back({.Service = "c", .Lack = {}});
+  const auto decoded = decodeFleetMessage(encodeFleetMessage(message));
+  ASSERT_TRUE(decoded);
+  ASSERT_EQ(decoded->Shortages.size(), 8U);
+  EXPECT_EQ(decoded->Shortages[0].Service, "b");
+  EXPECT_EQ(decoded->Shortages[0].Lack.Waiting, 10'000);
+  EXPECT_EQ(decoded->Shortages[0].Lack.Rejections, 10'000);
+}
+
 } // namespace wigeonlift
