--- a/Libraries/LibBalance/BalanceTypes.h
+++ b/Libraries/LibBalance/BalanceTypes.h
@@ -57,6 +57,9 @@
   /// Includes the first attempt, retries and hedges.
   int MaxAttempts = 1;
   std::size_t BodyBytes = 0;
+  /// The caller has waited before, probably because an earlier attempt was rejected. It doesn't
+  /// send the request again, so the request is kept as long as it can finish by its deadline.
+  bool IsReturning = false;
 };
 
 /// Tells the I/O layer to send a request to an upstream.
--- a/Libraries/LibBalance/ServiceBalancer.cpp
+++ b/Libraries/LibBalance/ServiceBalancer.cpp
@@ -63,6 +63,9 @@
     return;
   it->second.Spec = spec;
   it->second.Spec.Deadline = std::min(spec.Deadline, LatestDeadline);
+  it->second.Spec.IsReturning = spec.IsReturning && HasOverloadControl;
+  if (HasOverloadControl)
+    Admission.didArrive(spec.Priority, now);
   if (now >= it->second.Spec.Deadline)
     return refuse(it->second, FailureKind::DeadlineExceeded, now, out);
   if (Upstreams.empty())
@@ -151,6 +154,7 @@
 void ServiceBalancer::didPause() {
   for (auto &[index, view] : Upstreams)
     view.clearReport();
+  Forecast.clear();
 }
 
 void ServiceBalancer::tick(TimePoint now, BalanceCommands &out) {
--- a/Libraries/LibRoutes/RouteTable.cpp
+++ b/Libraries/LibRoutes/RouteTable.cpp
@@ -22,8 +22,11 @@
 } // namespace
 
 RouteTable::RouteTable(RouteConfiguration configuration) : Configuration(std::move(configuration)) {
-  for (const Route &it : Configuration.Routes)
+  for (const Route &it : Configuration.Routes) {
     RoutesByHost[normalizedHost(it.Host)].emplace(it.Prefix, &it);
+    for (const WeightedService &part : it.WeightedServices)
+      PrioritiesByService[part.Service].insert(it.Priority);
+  }
   for (const ServiceConfiguration &it : Configuration.Services)
     Services.emplace(it.Name, &it);
 }
@@ -49,6 +52,11 @@
   return it == Services.end() ? nullptr : it->second;
 }
 
+bool RouteTable::hasSeveralPriorities(std::string_view service) const {
+  const auto it = PrioritiesByService.find(service);
+  return it != PrioritiesByService.end() && it->second.size() > 1;
+}
+
 bool RouteTableStore::replaceIfNewer(RouteConfiguration configuration) {
   if (Current && configuration.Version <= Current->configuration().Version)
     return false;
--- a/Libraries/LibRoutes/RouteTable.h
+++ b/Libraries/LibRoutes/RouteTable.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -22,6 +23,8 @@
   const Route *find(std::string_view host, std::string_view target) const;
   /// Null when the configuration has no such service.
   const ServiceConfiguration *service(std::string_view name) const;
+  /// Whether routes of different priorities send requests to the service.
+  bool hasSeveralPriorities(std::string_view service) const;
 
 private:
   struct StringHash {
@@ -36,6 +39,7 @@
   RouteConfiguration Configuration;
   StringMap<StringMap<const Route *>> RoutesByHost;
   StringMap<const ServiceConfiguration *> Services;
+  StringMap<std::set<int>> PrioritiesByService;
 };
 
 /// Holds the current route table. Its version never decreases during the life of the process.
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -240,6 +240,22 @@
                                      .Tolerance = bounds.WarmupTolerance.value_or(0)});
 }
 
+std::vector<ServiceShortage> Gateway::shortages(TimePoint now) {
+  std::vector<ServiceShortage> result;
+  for (const auto &[name, task] : Services)
+    if (const auto shortage = task->checkShortage(now))
+      result.push_back({.Service = name, .Lack = *shortage});
+  return result;
+}
+
+void Gateway::didHearShortages(std::uint32_t vm, std::span<const ServiceShortage> shortages,
+                               TimePoint now) {
+  for (const auto &[name, task] : Services) {
+    const auto it = std::ranges::find(shortages, name, &ServiceShortage::Service);
+    task->didHearShortage(vm, it == shortages.end() ? std::nullopt : std::optional{it->Lack}, now);
+  }
+}
+
 void Gateway::refreshServices() {
   if (!Plans.current())
     return;
@@ -248,6 +264,7 @@
     if (!task)
       task = makeService(it.Name);
     task->setPlan(it.HealthPath, it.MaxConnections);
+    task->setOverloadControl(Plans.current()->hasSeveralPriorities(it.Name));
   }
   limitWarmups();
   for (const auto &[name, task] : Services)
@@ -313,6 +330,8 @@
              {"hedges_residual", number(counts.ResidualHedges)},
              {"overtaken", number(counts.OvertakenAttempts)},
              {"refused", number(counts.Refusals)},
+             {"refused_admission", number(counts.RefusedByAdmission)},
+             {"refused_forecast", number(counts.RefusedByForecast)},
              {"probes", number(counts.Probes)},
              {"probes_slow", number(counts.SlowUpstreamProbes)},
              {"probes_full", number(counts.FullUpstreamProbes)},
--- a/Services/Gateway/ServiceTask.h
+++ b/Services/Gateway/ServiceTask.h
@@ -13,6 +13,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -53,6 +54,8 @@
   /// wait for others.
   void setUpstreams(const std::vector<UpstreamRecord> &records, WaitingRequests waiting);
   void setPlan(const std::string &healthPath, int maxConnections);
+  /// Whether the decisions of docs/design/priority-admission.md apply to the service.
+  void setOverloadControl(bool isEnabled) { Balancer.setOverloadControl(isEnabled); }
   void setRetryBudget(double ratio, double allowance, Duration window);
   void setProbeRate(double probesPerSecond);
   /// The part of the fleet's requests that this VM gets, from 0 to 1.
@@ -68,6 +71,11 @@
   /// Chooses the upstreams that this VM works with, as after changes that have no effect by
   /// themselves.
   void useSubset();
+  /// The most urgent requests that lack room at this VM, if any. Logs when the service becomes
+  /// short and when it has recovered.
+  std::optional<Shortage> checkShortage(TimePoint now);
+  /// Another VM said whether requests of the service lack room there.
+  void didHearShortage(std::uint32_t vm, const std::optional<Shortage> &shortage, TimePoint now);
   /// Sets when all requests must have been answered, those that are in progress and later ones.
   void setLatestDeadline(TimePoint latest);
 
@@ -124,6 +132,9 @@
   std::set<UpstreamIndex> UnreadableLimits;
   /// Upstreams that were last logged as cold.
   std::set<UpstreamIndex> LoggedAsCold;
+  /// When the service became short of room, if it has not recovered, and when it last was short.
+  std::optional<TimePoint> ShortSince;
+  TimePoint LastShortAt{};
   double RequestShare = 1;
   std::string HealthPath = "/health";
   int ConnectionLimit = 64;
