LibFleet: Leave out the era of VMs that share the sender's

With the era in each of 29 states, a message grew by some 58 bytes in later eras, close to the size that a datagram may have. Only states of another era than the sender's carry it now.

--- a/Libraries/LibFleet/FleetCodec.cpp
+++ b/Libraries/LibFleet/FleetCodec.cpp
@@ -11,7 +11,9 @@
 
 enum Flag : std::uint32_t { ReadyFlag = 1, StoppingFlag = 2, StoreDisconnectedFlag = 4 };
 
-void encode(const FleetVm &vm, fleetwire::Vm &out) {
+/// Most VMs are in the era of the sender. To leave it out keeps a message with many VMs below the
+/// size of a datagram.
+void encode(const FleetVm &vm, std::uint64_t eraOfSender, fleetwire::Vm &out) {
   out.set_ip(vm.Ip);
   out.set_data_centre(vm.DataCentre);
   out.set_incarnation(vm.Incarnation);
@@ -21,10 +23,11 @@
   out.set_weight(vm.Weight);
   out.set_data_centre_weight(vm.DataCentreWeight);
   out.set_revision(vm.Revision.Number);
-  out.set_era(vm.Revision.Era);
+  if (vm.Revision.Era != eraOfSender)
+    out.set_era(vm.Revision.Era);
 }
 
-FleetVm decode(const fleetwire::Vm &in) {
+FleetVm decode(const fleetwire::Vm &in, std::uint64_t eraOfSender) {
   return {.Ip = in.ip(),
           .DataCentre = in.data_centre(),
           .Incarnation = in.incarnation(),
@@ -34,7 +37,7 @@
           .IsStoreDisconnected = (in.flags() & StoreDisconnectedFlag) != 0,
           .Weight = in.weight(),
           .DataCentreWeight = in.data_centre_weight(),
-          .Revision = {in.era(), in.revision()}};
+          .Revision = {in.has_era() ? in.era() : eraOfSender, in.revision()}};
 }
 
 AnswerWanted decodeWanted(std::uint32_t wanted) {
@@ -86,9 +89,9 @@
 
 std::string encodeFleetMessage(const FleetMessage &message) {
   fleetwire::Message out;
-  encode(message.Sender, *out.mutable_sender());
+  encode(message.Sender, 0, *out.mutable_sender());
   for (const FleetVm &it : message.Others)
-    encode(it, *out.add_others());
+    encode(it, message.Sender.Revision.Era, *out.add_others());
   out.set_wanted(static_cast<std::uint32_t>(message.Wanted));
   out.set_sent_at_ms(message.SentAtMs);
   out.set_from_lead_reader(message.IsFromLeadReader);
@@ -113,7 +116,7 @@
   fleetwire::Message in;
   if (!parse(in, bytes) || in.sender().ip() == 0 || !isPossible(in))
     return std::nullopt;
-  FleetMessage message{.Sender = decode(in.sender()),
+  FleetMessage message{.Sender = decode(in.sender(), 0),
                        .SentAtMs = in.sent_at_ms(),
                        .ReplicaConfirmedAt = {},
                        .IsFromLeadReader = in.from_lead_reader(),
@@ -124,7 +127,7 @@
                        .Delta = {},
                        .DeltaAfter = {in.delta().era(), in.delta().after()}};
   for (const auto &it : in.others())
-    message.Others.push_back(decode(it));
+    message.Others.push_back(decode(it, in.sender().era()));
   message.ReplicaConfirmedAt = decode(in.times(), in.times().replica_confirmed_at_ms());
   message.StoreReachedAt = decode(in.times(), in.times().store_reached_at_ms());
   message.StoreDownAt = decode(in.times(), in.times().store_down_at_ms());
--- a/Tests/LibFleet/TestFleetReplica.cpp
+++ b/Tests/LibFleet/TestFleetReplica.cpp
@@ -320,12 +320,15 @@
 TEST(RestoredStore, MessagesCarryTheEra) {
   FleetMessage message = messageOfEra(1, true);
   message.DeltaAfter = {1, 2};
+  for (const std::uint64_t era : {0U, 1U, 2U})
+    message.Others.push_back({.Ip = Receiver, .DataCentre = "a", .Revision = {era, 9}});
   const auto decoded = decodeFleetMessage(encodeFleetMessage(message));
   ASSERT_TRUE(decoded && decoded->Delta);
   EXPECT_EQ(decoded->Sender.Revision, StoreRevision(1, 3));
   EXPECT_EQ(decoded->Delta->AsOf, StoreRevision(1, 3));
   EXPECT_EQ(decoded->Delta->Items, message.Delta->Items);
   EXPECT_EQ(decoded->DeltaAfter, StoreRevision(1, 2));
+  EXPECT_EQ(decoded->Others, message.Others);
 }
 
 } // namespace wigeonlift
--- a/Tests/Platform/TestPlatform.cpp
+++ b/Tests/Platform/TestPlatform.cpp
@@ -77,6 +77,7 @@
   const auto record = platform::decodeUpstreamRecord("i-1", good);
   ASSERT_TRUE(record);
   EXPECT_EQ(record->StartedAtMs, 17U);
+  EXPECT_EQ(record->WriteCount, 4U);
   EXPECT_EQ(record->Slots, 3);
   EXPECT_EQ(record->Warmup, 300ms);
   EXPECT_FALSE(record->IsDraining);
