--- a/Tests/LibRoutes/TestRouteTable.cpp
+++ b/Tests/LibRoutes/TestRouteTable.cpp
@@ -46,6 +46,21 @@
   EXPECT_EQ(routeName(routes.find("c.example", "/x/1")), "none");
 }
 
+// Guards against priorities that are compared at a service that all its routes reach alike, or only
+// by the first part of a split.
+TEST(RouteTable, KnowsTheServicesWithSeveralPriorities) {
+  RouteConfiguration configuration{.Version = 1};
+  configuration.Routes = {route("urgent", "a.example", "/x/"), route("bulk", "a.example", "/y/")};
+  configuration.Routes[0].WeightedServices.push_back({.Service = "gradebook"});
+  configuration.Routes[1].Priority = 2;
+  configuration.Routes[1].WeightedServices = {{.Service = "archivist"}, {.Service = "gradebook"}};
+  const RouteTable routes{std::move(configuration)};
+  EXPECT_TRUE(routes.hasSeveralPriorities("gradebook"));
+  EXPECT_FALSE(routes.hasSeveralPriorities("rankview"));
+  EXPECT_FALSE(routes.hasSeveralPriorities("archivist"));
+  EXPECT_FALSE(routes.hasSeveralPriorities("unknown"));
+}
+
 // Guards against an older configuration that arrives late and replaces a newer one.
 TEST(RouteTableStore, RejectsOlderVersions) {
   RouteTableStore store;
