LibBalance: Weigh overtaken attempts nearly as lost responses

Cause: with 0.5, an upstream that never answers was a good choice again within a second.

Change: an attempt that its hedge overtakes adds 0.8 to the failure score.

--- a/Libraries/LibBalance/Attempts.cpp
+++ b/Libraries/LibBalance/Attempts.cpp
@@ -15,7 +15,9 @@
 constexpr double ConnectionFailurePenalty = 1.5;
 constexpr double TimeoutPenalty = 1.0;
 // A hedge responded before the attempt did. Less than for a lost response, as it may only be slow.
-constexpr double OvertakenPenalty = 0.5;
+// An excess score of 0.3 makes an upstream no good choice; this much keeps it above for some
+// seconds.
+constexpr double OvertakenPenalty = 0.8;
 // An overtaken attempt counts as a failure after this multiple of the expected time.
 constexpr double OvertakenFactor = 2.0;
 
