Gateway: Count the held part of a large answer until its end

Cause: releasing its memory as soon as it was written made AnswersOfAllRequestsShareABound fail in most runs: at its end no answer was counted any more.

Change: the memory is given back at the end of the answer, as before the reading ahead.

--- a/Services/Gateway/AnswerWriter.cpp
+++ b/Services/Gateway/AnswerWriter.cpp
@@ -59,7 +59,6 @@
   rest->start(pending.Request->Spec.Deadline + ProxiedRequest::LateAnswerSpan);
   bool isWritten = co_await Caller.writeHead(std::move(open.Head)) &&
                    co_await Caller.writePart(open.Begun.Bytes, isChunked);
-  open.Begun = {};
   while (isWritten) {
     const auto part = co_await rest->next();
     if (!part)
