LibBalance: Ask upstreams without a connection later

Cause: of a subset of 24 upstreams, a small VM connects to nearly all, though a few would do for its two requests a second; a connection that is closed when idle is opened again for the next probe. Change: in the first round of probes, a missing connection counts as much as the work of the request.

--- a/Libraries/LibBalance/Probing.cpp
+++ b/Libraries/LibBalance/Probing.cpp
@@ -20,7 +20,7 @@
 constexpr double RemoteProbePenalty = 0.6;
 // Added to the cost of probing an upstream that has no open connection, because a new connection
 // causes work at the upstream. A fraction of the work time, which halves with each round as well.
-constexpr double NewConnectionPenalty = 0.3;
+constexpr double NewConnectionPenalty = 1.0;
 // An upstream that reported its load within this time is assumed to have an open connection.
 constexpr Duration AssumedConnectionKeepAlive = std::chrono::seconds{8};
 
