LibBalance, Gateway: Mend what the review of the whole change found

Cause: a reader of the whole diff found that a late health answer could end a warm-up that a later entry had announced, that entries which the list rejects changed the warm-up, that a warm-up from before a limit came into force was lost, that withdrawn attempts counted as started, and that an unreadable first configuration hid the lines of all upstreams. Change: each is mended, with a test for the first; comments say reasons instead of trials.

--- a/Libraries/LibBalance/Attempts.cpp
+++ b/Libraries/LibBalance/Attempts.cpp
@@ -14,9 +14,8 @@
 constexpr double NotRunPenalty = 0.4;
 constexpr double ConnectionFailurePenalty = 1.5;
 constexpr double TimeoutPenalty = 1.0;
-// A hedge responded before the attempt did. Less than for a lost response, as it may only be slow.
-// An excess score of 0.3 makes an upstream no good choice; this much keeps it above for some
-// seconds.
+// A hedge responded before the attempt did. Less than for a lost response, as the attempt may only
+// be slow, but enough to keep the excess score above 0.3, that of a good choice, for some seconds.
 constexpr double OvertakenPenalty = 0.8;
 // An overtaken attempt counts as a failure after this multiple of the expected time.
 constexpr double OvertakenFactor = 2.0;
@@ -25,8 +24,8 @@
 // A hedge that starts later than that would probably miss the objective.
 constexpr double HedgeLateFactor = 1.15;
 // A hedge is considered when the rest of the attempt is expected to take this multiple of the work
-// of a new attempt. A good upstream may take 1.3 times the work time. With 2, hedges of simulated
-// draws with slow phases came too late for the objective.
+// of a new attempt. A new attempt at a good upstream takes up to 1.3 times the work time; a hedge
+// that starts at twice the work would often miss the objective.
 constexpr double HedgeResidualFactor = 1.25;
 // An attempt whose work has taken this multiple of the expected time is overdue: a lognormal spread
 // of 0.3 leaves 3% of the attempts, so most overdue ones are of a tail and take far longer. Used
@@ -97,6 +96,11 @@
   }
   if (request.Spec.BodyBytes > RequestSpec::MaxSmallBodyBytes)
     ReadingBodies.insert(upstream);
+  // Attempts that are withdrawn before they are sent don't count as started.
+  if (!it->second.IsExtraAttempt) {
+    Forecast.didStart(now);
+    Admission.didDecide(request.Spec.Priority, true, now);
+  }
   it->second.IsSent = true;
   Counts.SentToCold += Limits.isCold(upstream, now) ? 1 : 0;
   ++request.PossibleExecutions;
--- a/Libraries/LibBalance/Overload.cpp
+++ b/Libraries/LibBalance/Overload.cpp
@@ -11,10 +11,10 @@
 // Shorter than the time in which the admitted fractions change, and much longer than the interval
 // between two events under load.
 constexpr Duration ShortageInterval = std::chrono::milliseconds{10};
-// Late requests leave room to others for this part of the time in which they may start. Over the
-// whole of it, most of those whose callers have returned were rejected again; with half, more
-// requests became late (model in Tests/LibBalance/OverloadedFleet.h).
-constexpr double PatientFraction = 0.75;
+// Late requests leave a slot of each upstream free to timely ones during this fraction of the time
+// in which they may start. During all of it, most requests of returning callers would be rejected
+// again; a shorter time makes more of the others late.
+constexpr double LateYieldFraction = 0.75;
 constexpr Duration RejectionSpan = std::chrono::seconds{1};
 // Bounds the memory for rejections. More than these don't change a decision.
 constexpr std::size_t MaxRoomRejections = 1000;
@@ -102,7 +102,7 @@
   if (!Admission.isShort() || !isLate(request, now))
     return false;
   const Duration longestWait = latestStart(request) - request.Spec.ArrivedAt;
-  return now < request.Spec.ArrivedAt + fromSeconds(PatientFraction * toSeconds(longestWait));
+  return now < request.Spec.ArrivedAt + fromSeconds(LateYieldFraction * toSeconds(longestWait));
 }
 
 bool ServiceBalancer::givesWay(Request &request, TimePoint now) {
--- a/Libraries/LibBalance/Placement.cpp
+++ b/Libraries/LibBalance/Placement.cpp
@@ -51,7 +51,7 @@
   const TimePoint lastForDeadline = request.Spec.Deadline - expectedWork;
   // Requests that were attempted stay until they can no longer meet the deadline. Late requests
   // without any attempt are refused well before it, so that the caller has time to retry.
-  // Callers that return send the request no further time, so theirs stay as long.
+  // A caller that returns doesn't retry again, so its request stays as long.
   if (!request.TriedUpstreams.empty() || request.Spec.IsReturning)
     return lastForDeadline;
   const Duration allowedTime = request.Spec.Deadline - request.Spec.ArrivedAt;
@@ -301,10 +301,6 @@
   Counts.SentToLimited += attempt.Choice.RateLimit ? 1 : 0;
   Counts.SentToOtherDataCentre += view.info().IsInLocalDataCentre ? 0 : 1;
   view.didSend(id, now);
-  if (isWaiting(request)) {
-    Forecast.didStart(now);
-    Admission.didDecide(request.Spec.Priority, true, now);
-  }
   request.TriedUpstreams.push_back(attempt.Upstream);
   request.RunningAttempts.push_back(id);
   request.IsQueued = false;
--- a/Libraries/LibBalance/Probing.cpp
+++ b/Libraries/LibBalance/Probing.cpp
@@ -19,7 +19,8 @@
 // fraction of the work time. The fraction halves with each round of probes for the request.
 constexpr double RemoteProbePenalty = 0.6;
 // Added to the cost of probing an upstream that has no open connection, because a new connection
-// causes work at the upstream. A fraction of the work time, which halves with each round as well.
+// causes work at the upstream, and it is closed again if the VM has few requests. A multiple of the
+// work time, which halves with each round as well.
 constexpr double NewConnectionPenalty = 1.0;
 // An upstream that reported its load within this time is assumed to have an open connection.
 constexpr Duration AssumedConnectionKeepAlive = std::chrono::seconds{8};
--- a/Libraries/LibBalance/UpstreamLimits.cpp
+++ b/Libraries/LibBalance/UpstreamLimits.cpp
@@ -107,6 +107,8 @@
     return;
   Warmup &warmup = Warmups[upstream];
   warmup.KnownAt.reset();
+  if (remaining > Duration::zero())
+    warmup.EntryAt = now;
   setWarmupEnd(upstream, warmup, fleetKey, now + remaining, now);
 }
 
@@ -120,8 +122,10 @@
   warmup.IsNamedInHealthAnswers |= isNamed;
   const Duration remaining = isNamed ? report.Remaining : Duration::zero();
   const bool isRecent = now - report.AskedAt <= MaxHealthAnswerAge;
-  // The upstream may have become cold since it wrote an answer that was on its way for long.
-  if (!isRecent && remaining == Duration::zero())
+  // The upstream may have become cold since it wrote an answer that was on its way for long, or
+  // that answers a check from before its entry arrived.
+  const bool isOutdated = !isRecent || (warmup.EntryAt && report.AskedAt < *warmup.EntryAt);
+  if (isOutdated && remaining == Duration::zero())
     return;
   if (isRecent)
     warmup.KnownAt = report.AskedAt;
--- a/Libraries/LibBalance/UpstreamLimits.h
+++ b/Libraries/LibBalance/UpstreamLimits.h
@@ -138,6 +138,8 @@
     bool IsNamedInHealthAnswers = false;
     /// When the health check was sent whose answer last said whether the upstream is cold.
     std::optional<TimePoint> KnownAt{};
+    /// When the entry that last said that the upstream is cold arrived.
+    std::optional<TimePoint> EntryAt{};
   };
   Duration recheckInterval();
   void setWarmupEnd(UpstreamIndex upstream, Warmup &warmup, std::uint64_t fleetKey, TimePoint end,
--- a/Libraries/LibBalance/WorkDistribution.cpp
+++ b/Libraries/LibBalance/WorkDistribution.cpp
@@ -14,7 +14,7 @@
 constexpr double MinSeconds = 1e-3;
 constexpr double MaxSeconds = 60;
 constexpr double MinWeight = 50;
-// About eight of the samples that remain after a halving are of a tail of 3%.
+// After a halving 256 samples remain, of which a tail of 3% has about eight.
 constexpr double MaxWeight = 512;
 // The longest samples up to this weight are left out, since one or two outliers are no tail.
 constexpr double OutlierWeight = 2;
@@ -65,7 +65,7 @@
   double atRisk = 0;
   for (const Bin &it : bins)
     atRisk += it.Finished + it.Aborted;
-  // Life table: those that were aborted in a bin count as at risk for half of it.
+  // Actuarial estimate of survival: samples that were aborted in a bin are at risk for half of it.
   std::vector<Survival> result(BinCount + 1, Survival{.Probability = 0, .Integral = 0});
   result[0].Probability = 1;
   for (std::size_t n = 0; n < BinCount; ++n) {
--- a/Libraries/LibBalance/WorkDistribution.h
+++ b/Libraries/LibBalance/WorkDistribution.h
@@ -21,7 +21,7 @@
 
   /// Adds an attempt that finished after `work`.
   void addFinished(Duration work, double weight) { add(work, true, weight); }
-  /// Adds an attempt that was aborted after `work` and would have taken longer.
+  /// Adds a right-censored sample: an attempt that was aborted after `work`.
   void addAborted(Duration work, double weight) { add(work, false, weight); }
 
   /// Expected remaining work of an attempt that has done `elapsed`, not counting the longest
--- a/Libraries/LibFleet/FleetMessage.h
+++ b/Libraries/LibFleet/FleetMessage.h
@@ -62,8 +62,8 @@
   /// States of VMs other than the sender.
   std::vector<FleetVm> Others{};
   AnswerWanted Wanted = AnswerWanted::None;
-  /// Services that are short of room at the sender, the most urgent ones first. A service that
-  /// isn't named has enough.
+  /// The most urgent shortages of services at the sender, four at most. A service that isn't named
+  /// has none, or a less urgent one.
   std::vector<ServiceShortage> Shortages{};
   /// Changes of the store after the revision `DeltaAfter`, or a complete copy of the store.
   std::optional<StoreDelta> Delta{};
--- a/Libraries/LibHttp/SocketOptions.cpp
+++ b/Libraries/LibHttp/SocketOptions.cpp
@@ -19,10 +19,8 @@
 // Longer than a few retransmissions on a lossy path, shorter than the deadlines of most calls'
 // users.
 constexpr unsigned UserTimeoutMs = 10'000;
-// The kernel would take some MB for a peer that reads slowly, which the process's own bounds don't
-// count. What is on its way isn't limited, so peers that read fast get as much as before: this
-// covers 50 ms without processor time on a link of 10 Mbit/s. The kernel takes more when half of it
-// was sent; a peer that reads 2 KB a second needs 16 s for that, less than the limits on progress.
+// TCP_NOTSENT_LOWAT: limits the unsent data that the kernel buffers for a slow peer, which the
+// limits of this process don't count. 64 KiB last 50 ms at 10 Mbit/s, so fast peers don't wait.
 constexpr int MaxUnsentBytes = 64 * 1024;
 
 template <typename Value> void setTcpOption(int fd, int option, Value value) {
--- a/Libraries/LibHttp/UpstreamConnection.cpp
+++ b/Libraries/LibHttp/UpstreamConnection.cpp
@@ -98,7 +98,8 @@
         co_await http::async_read_header(Socket, Reader->Buffer, parser, Completion);
     if (ec)
       co_return nullptr;
-    // Upstreams in trouble send 000. It is no interim response: a body may follow it.
+    // A status below 100, such as the 000 of some failing upstreams, is invalid. As an interim
+    // response its body would be taken for the next head.
     if (parser.get().result_int() < FirstInterimStatus)
       co_return nullptr;
     // Interim responses such as 100 Continue precede the final one.
--- a/Services/Gateway/AnswerReadAhead.h
+++ b/Services/Gateway/AnswerReadAhead.h
@@ -17,7 +17,8 @@
 
 /// Reads the rest of a large answer for a caller. The next part is read when the caller has taken
 /// the last one. An upstream aborts an answer that stays unread for some seconds, so for a slow
-/// caller further parts are read into the memory for answers.
+/// caller further parts are read into the memory for answers. The part that the caller takes and
+/// the one that is being read, of 64 KiB each, aren't counted there.
 class AnswerReadAhead : public std::enable_shared_from_this<AnswerReadAhead> {
 public:
   AnswerReadAhead(const boost::asio::any_io_executor &executor,
--- a/Services/Gateway/BodyTransfer.cpp
+++ b/Services/Gateway/BodyTransfer.cpp
@@ -41,7 +41,7 @@
     const TimePoint now = bootTimeNow();
     if (now - StartedAt >= LogAfter)
       Service->log().didReadBodySlowly(*Request, Upstream->Record.Id, now - StartedAt);
-    // Not at once: this may be a part of another change of the service, or of the process's end.
+    // Deferred, since this may be called while the service executes commands, or from a destructor.
     boost::asio::post(Timer.get_executor(),
                       [service = Service, upstream = Upstream] { service->bodyTaken(*upstream); });
   }
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -80,11 +80,12 @@
   bool hasChanged = false;
   bool hasChangedWarmup = false;
   // Hundreds of lines would delay the first requests of a small VM.
-  IsLoading = !Plans.current();
+  IsLoading = !HasSeenConfiguration;
   if (removals.Kind == RemovalKind::StoreRestored)
     Upstreams.didRestoreStore(now);
   for (const StoreItem &it : changes) {
     if (it.Key == platform::ConfigurationKey) {
+      HasSeenConfiguration = true;
       didLearnPlan(it, source);
       hasChanged = true;
     } else if (const auto id = platform::upstreamIdOf(it.Key)) {
@@ -162,13 +163,14 @@
     return true;
   }
   const UpstreamRecord copy = *record;
-  // The list of upstreams doesn't report changes of the warm-up. Entries of earlier processes and
-  // of unknown upstreams are ignored here.
-  if (const auto task = service(copy.Service))
-    hasChangedWarmup |= task->didWriteWarmup(copy);
   const bool isRestored = removal.Kind == RemovalKind::StoreRestored;
   const bool hasChanged = isRestored ? Upstreams.didRestore(*std::move(record), now)
                                      : Upstreams.didWrite(*std::move(record), now);
+  // The list doesn't report changes of the warm-up. What it didn't accept is outdated.
+  const auto listed = Upstreams.upstreams().find(id);
+  const bool isAccepted = listed != Upstreams.upstreams().end() && listed->second == copy;
+  if (const auto task = service(copy.Service); task && isAccepted)
+    hasChangedWarmup |= task->didWriteWarmup(copy);
   if (!hasChanged)
     return false;
   if (IsLoading)
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -135,7 +135,8 @@
   std::uint64_t LastCall = 0;
   double BudgetShare = 0.05;
   ShareAssignment Shares;
-  /// Whether the first configuration, and the upstreams with it, are just being read.
+  bool HasSeenConfiguration = false;
+  /// Whether upstreams are learnt that the first copy of the store names.
   bool IsLoading = false;
   ShareAssignment WarmupShares = ShareAssignment::withoutShares();
   StartPlan Begin;
--- a/Services/Gateway/ServiceTask.cpp
+++ b/Services/Gateway/ServiceTask.cpp
@@ -56,6 +56,7 @@
                         .Index = UpstreamIndex{++LastIndex},
                         .FleetKey = fleetKeyOf(record),
                         .WarmupEndsAt = now + record.Warmup,
+                        .EntryWarmupEndsAt = now + record.Warmup,
                         .Pool = std::make_shared<UpstreamPool>(Context.get_executor(), *endpoint,
                                                                ConnectionLimit)});
       ByIndex[known->Index] = known;
@@ -119,10 +120,10 @@
   const bool isLimited = Balancer.limits().limitsWarmup();
   if (wasLimited == isLimited)
     return;
-  // What entries said while the requests weren't limited.
+  // Entries that were written while requests to cold upstreams weren't limited.
   for (const auto &[index, known] : ByIndex) {
-    if (now < known->WarmupEndsAt)
-      Balancer.warmupReported(index, known->FleetKey, known->WarmupEndsAt - now, now);
+    if (now < known->EntryWarmupEndsAt)
+      Balancer.warmupReported(index, known->FleetKey, known->EntryWarmupEndsAt - now, now);
     logWarmup(*known, "configuration", now);
   }
   useSubset();
@@ -139,8 +140,9 @@
   if (record.Warmup == Duration::zero() && previous == Duration::zero())
     return false;
   const TimePoint now = bootTimeNow();
+  known.EntryWarmupEndsAt = now + record.Warmup;
   if (Balancer.limits().limitsWarmup())
-    known.WarmupEndsAt = now + record.Warmup;
+    known.WarmupEndsAt = known.EntryWarmupEndsAt;
   Balancer.warmupReported(known.Index, known.FleetKey, record.Warmup, now);
   return logWarmup(known, "store", now);
 }
--- a/Services/Gateway/ServiceTask.h
+++ b/Services/Gateway/ServiceTask.h
@@ -28,7 +28,10 @@
   /// Identifies this incarnation of the upstream in the same way on all VMs.
   std::uint64_t FleetKey = 0;
   /// According to its entry.
+  /// Until when the balancer expects the upstream to be slow.
   TimePoint WarmupEndsAt{};
+  /// Until when the upstream is cold according to its entry.
+  TimePoint EntryWarmupEndsAt{};
   std::shared_ptr<UpstreamPool> Pool;
 };
 
--- a/Tests/LibBalance/TestWarmup.cpp
+++ b/Tests/LibBalance/TestWarmup.cpp
@@ -96,6 +96,20 @@
   EXPECT_FALSE(other.Limits.hasRoom(Only, other.Now));
 }
 
+// Guards against the answer to a check that was sent shortly before the upstream became cold, and
+// that arrives after the entry that says so.
+TEST(Warmup, AnswersToChecksFromBeforeTheEntryProveNoWarmth) {
+  OneUpstream it;
+  it.Now += 1s;
+  it.entrySays(3s);
+  it.healthAnswerSays(0s, 200ms);
+  EXPECT_TRUE(it.isCold());
+  EXPECT_FALSE(it.Limits.isWarmupKnown(Only, it.Now));
+  it.Now += 100ms;
+  it.healthAnswerSays(0s, 50ms);
+  EXPECT_FALSE(it.isCold());
+}
+
 // Guards against a second set of saved requests for an upstream that becomes cold again.
 TEST(Warmup, SavedRequestsAreNotRenewedByAnotherWarmup) {
   OneUpstream it;
