TestLibBalance: Send the checks of health answers after the entry that they follow

Cause: the fixture sent each check 2 ms before the present time, so before an entry that had just arrived. Since a check from before the entry proves no warmth, the tests that mean a later check failed. Change: time goes on by 5 ms with each entry. No expectation is eased; the one end that is named counts from the entry.

--- a/Tests/LibBalance/TestWarmup.cpp
+++ b/Tests/LibBalance/TestWarmup.cpp
@@ -20,7 +20,11 @@
 struct OneUpstream {
   OneUpstream() { Limits.setWarmup(Rate, Bounds, Now); }
 
-  void entrySays(Duration remaining) { Limits.didReportWarmup(Only, 1, remaining, Now); }
+  /// The checks of health answers that follow are sent later.
+  void entrySays(Duration remaining) {
+    Limits.didReportWarmup(Only, 1, remaining, Now);
+    Now += 5ms;
+  }
   void healthAnswerSays(std::optional<Duration> remaining, Duration age = 2ms) {
     Limits.didReportWarmup(Only, 1,
                            WarmupReport{.Kind = remaining ? Content::Named : Content::Unnamed,
@@ -71,8 +75,9 @@
   EXPECT_TRUE(it.isCold());
   it.healthAnswerSays({});
   EXPECT_FALSE(it.isCold());
+  const TimePoint written = it.Now;
   it.entrySays(1s);
-  EXPECT_EQ(it.Limits.warmupEndsAt(Only), it.Now + 1s);
+  EXPECT_EQ(it.Limits.warmupEndsAt(Only), written + 1s);
   it.entrySays(0s);
   EXPECT_FALSE(it.isCold());
   it.entrySays(1s);
