--- a/Libraries/LibSettings/GatewaySettings.h
+++ b/Libraries/LibSettings/GatewaySettings.h
@@ -69,6 +69,9 @@
   int FileDescriptors = 1024;
   /// The whole fleet starts for the first time; callers come some seconds later.
   bool IsFirstStart = false;
+  /// Whether less urgent requests give way to more urgent ones at other VMs when a service is short
+  /// of room.
+  bool HasPriorityAdmission = false;
   FleetBounds Bounds;
 };
 
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -207,8 +207,7 @@
 
 void Gateway::setSettings(const GatewaySettings &settings) {
   Settings = settings;
-  limitWarmups();
-  shareBudgets();
+  refreshServices();
 }
 
 void Gateway::setBudgetShare(double share) {
@@ -266,7 +265,8 @@
     if (!task)
       task = makeService(it.Name);
     task->setPlan(it.HealthPath, it.MaxConnections);
-    task->setOverloadControl(Plans.current()->hasSeveralPriorities(it.Name));
+    task->setOverloadControl(Settings.HasPriorityAdmission &&
+                             Plans.current()->hasSeveralPriorities(it.Name));
   }
   limitWarmups();
   for (const auto &[name, task] : Services)
--- a/Tests/Platform/TestPlatform.cpp
+++ b/Tests/Platform/TestPlatform.cpp
@@ -267,6 +267,18 @@
   EXPECT_FALSE(boundsWith(R"("evacuation=soon")").ok());
 }
 
+// Guards against priority admission at deployments that don't ask for it.
+TEST(NodeFile, HasPriorityAdmissionIfTheContractsDo) {
+  const auto settingsWith = [](const std::string &contracts) {
+    return platform::decodeNodeFile("node-name = \"vm-1\"\n" + contracts +
+                                    "\n[platform]\naddress = \"10.200.1.7:8541\"\n");
+  };
+  EXPECT_TRUE(settingsWith(R"(contracts = ["base","pressure"])")->HasPriorityAdmission);
+  EXPECT_FALSE(settingsWith(R"(contracts = ["base","pool"])")->HasPriorityAdmission);
+  EXPECT_FALSE(settingsWith(R"(contracts = "pressure")")->HasPriorityAdmission);
+  EXPECT_FALSE(settingsWith("")->HasPriorityAdmission);
+}
+
 // Guards against invalid settings that are accepted, and against unknown fields that make the whole
 // file invalid.
 TEST(NodeFile, DecodesSettings) {
