LibBalance, Gateway: Never pass on a failure after a run as a promise

What callers saw: an upstream ran an order and failed with a sealed 503 without X-Wigeonlift-Not-Executed; the caller got the 503, took it for the promise that the order had not run, and sent it again. It was applied twice. With a sealed 421 this VM itself sent the order to a second upstream.

Cause: the balancer relays each failure of an upstream that ran the request, whatever its status; AnswerWriter judges only failures of the VM's own. A 421 counted as "not run" also when its seal showed that it had run.

Change: one function takes an answer for "not run" (statesNotExecuted), another names the statuses that callers take for it (promisesNotExecuted). A failure after a run with such a status is repeated where that is allowed, and ends as 502 without seal. A success that claims not to have run proves nothing.

--- a/Libraries/LibBalance/Attempts.cpp
+++ b/Libraries/LibBalance/Attempts.cpp
@@ -56,6 +56,7 @@
   case ResponseKind::Success:
     return upstream.didSucceed(now);
   case ResponseKind::UpstreamFailure:
+  case ResponseKind::MisleadingFailure:
     return upstream.didFail(UpstreamFailurePenalty, now);
   case ResponseKind::NotRun:
     return upstream.didFail(NotRunPenalty, now);
@@ -143,19 +144,19 @@
     dispatchQueue(now, out);
     return ResponseAction::Drop;
   }
-  const bool isUpstreamFailure = response.Kind == ResponseKind::UpstreamFailure;
   if (!isNonIdempotent && request.RunningAttempts.empty() && mayAttemptAgain(request, now)) {
     requeue(request);
     dispatchQueue(now, out);
     return ResponseAction::Drop;
   }
-  if (isUpstreamFailure && request.RunningAttempts.empty()) {
+  if (response.Kind == ResponseKind::UpstreamFailure && request.RunningAttempts.empty()) {
     finishRequest(request, out);
     dispatchQueue(now, out);
     return ResponseAction::Relay;
   }
   refuseUnlessRunning(request,
-                      isUpstreamFailure ? FailureKind::UpstreamError : FailureKind::ConnectionLost,
+                      response.Kind == ResponseKind::Invalid ? FailureKind::ConnectionLost
+                                                             : FailureKind::UpstreamError,
                       now, out);
   dispatchQueue(now, out);
   return ResponseAction::Drop;
--- a/Libraries/LibBalance/BalanceTypes.h
+++ b/Libraries/LibBalance/BalanceTypes.h
@@ -95,8 +95,10 @@
 enum class ResponseKind : std::uint8_t {
   Success,         ///< A complete response from the upstream with a success status.
   UpstreamFailure, ///< A complete response with another status; the upstream ran the request.
-  NotRun,          ///< The upstream states that it did not run the request.
-  Invalid,         ///< Incomplete, or not a response from the upstream.
+  MisleadingFailure, ///< The same, but callers take its status for a promise that the request did
+                     ///< not run. Never sent to the caller.
+  NotRun,            ///< The upstream states that it did not run the request.
+  Invalid,           ///< Incomplete, or not a response from the upstream.
 };
 
 struct ResponseInfo {
--- a/Meta/soak/__main__.py
+++ b/Meta/soak/__main__.py
@@ -87,7 +87,8 @@
         if self.options.patient:
             faults = (patient.Patient(self, plan).run(until), plan.run(until))
         else:
-            faults = () if self.options.calm else (plan.run(until), notices.run(until))
+            misleading = Plan.of_misleading_failures(self, new_random(self.options.seed, "misleading"))
+            faults = () if self.options.calm else (plan.run(until), notices.run(until), misleading.run(until))
         if self.options.silence:
             faults += (Silence(self, plan, new_random(self.options.seed, "silence")).run(until),)
         if self.options.evacuate:
--- a/Meta/soak/plan.py
+++ b/Meta/soak/plan.py
@@ -64,6 +64,14 @@
         plan.faults = (plan.name_limits, plan.name_limits, plan.ask_for_time, plan.leave_upstream)
         return plan
 
+    @classmethod
+    def of_misleading_failures(cls, soak, rng):
+        """Runs that fail with a status that callers take for a promise. A plan of its own, so that seeds keep their other faults."""
+        plan = cls(soak, rng)
+        plan.pause_s = (1, 4)
+        plan.faults = (plan.mislead,)
+        return plan
+
     @classmethod
     def of_evacuations(cls, soak, rng):
         """Evacuations of data centres. A plan of its own, so that seeds keep their other faults."""
@@ -173,6 +181,9 @@
     async def shed(self):
         await self.share("shed", 0.5)
 
+    async def mislead(self):
+        await self.share("misleading", 0.2)
+
     async def share(self, fault, most):
         some = [u for u in self.soak.upstreams if self.rng.random() < 0.5]
         for upstream in some:
--- a/Meta/soak/upstream.py
+++ b/Meta/soak/upstream.py
@@ -28,8 +28,9 @@
         self.server = None
         self.slow = 1.0
         self.connections = set()
-        # Shares of answers that are lost after the run, broken off, or followed by another one.
-        self.lost = self.broken = self.extra = self.shed = 0.0
+        # Shares of answers that are lost after the run, broken off, or followed by another one, and of runs that fail with
+        # a status that callers take for a promise.
+        self.lost = self.broken = self.extra = self.shed = self.misleading = 0.0
         # What all answers say: requests a second from all VMs, and that the upstream is leaving.
         self.limit = None
         self.leaving = False
@@ -115,7 +116,9 @@
             return False
         fields = {"X-Wigeonlift-Attempt-Id": attempt, "X-Wigeonlift-Response-Seal": seal(attempt, body),
                   "X-Wigeonlift-Upstream-Load": self.load(), "Keep-Alive": "timeout=10", **self.notices()}
-        answer = wire.response(200, body, fields)
+        is_misleading = self.misleading and self.rng.random() < self.misleading
+        status = self.rng.choice((408, 421, 429, 503)) if is_misleading else 200
+        answer = wire.response(status, body, fields)
         if draw < self.lost + self.broken:
             writer.write(answer[:len(answer) // 2])
             await writer.drain()
--- a/Services/Gateway/UpstreamExchange.cpp
+++ b/Services/Gateway/UpstreamExchange.cpp
@@ -107,15 +107,17 @@
   const int status = static_cast<int>(head.result_int());
   // A rejection without the request's id may be the late copy of one that a health check got.
   const bool isOwn = isOwnAnswer(head, request);
-  if (isOwn && (head.find(platform::NotExecutedHeader) != head.end() || status == Misdirected))
+  if (isOwn && platform::statesNotExecuted(head))
     return ResponseKind::NotRun;
   const bool isSealed = !headerValue(head, platform::SealHeader).empty();
   const bool isEncoded = head.find(http::field::content_encoding) != head.end();
-  if (!isSealed || isEncoded || !isOwn || end == BodyEnd::Broken)
+  const bool isContradictory = head.find(platform::NotExecutedHeader) != head.end();
+  if (!isSealed || isEncoded || !isOwn || isContradictory || end == BodyEnd::Broken)
     return ResponseKind::Invalid;
-  return status >= FirstSuccessStatus && status < FirstFailureStatus
-             ? ResponseKind::Success
-             : ResponseKind::UpstreamFailure;
+  if (status >= FirstSuccessStatus && status < FirstFailureStatus)
+    return ResponseKind::Success;
+  return platform::promisesNotExecuted(head.result_int()) ? ResponseKind::MisleadingFailure
+                                                          : ResponseKind::UpstreamFailure;
 }
 
 /// What the caller gets of the upstream's head.
@@ -136,6 +138,8 @@
     return "answer broke off";
   if (kind == ResponseKind::Invalid)
     return fmt::format("no answer of the upstream, status {}", head.result_int());
+  if (kind == ResponseKind::MisleadingFailure)
+    return fmt::format("status {} after a run, not passed on", head.result_int());
   return fmt::format("status {}", head.result_int());
 }
 
--- a/Tests/LibBalance/TestAttempts.cpp
+++ b/Tests/LibBalance/TestAttempts.cpp
@@ -37,6 +37,51 @@
   EXPECT_EQ(it.Refused[id].Executed, Execution::Unknown);
 }
 
+// Guards against a second execution by the caller: an upstream that ran the request fails with a
+// status that callers take for a promise that it did not run.
+TEST(Attempts, MisleadingFailuresNeverReachTheCaller) {
+  for (const CallClass callClass : {CallClass::Idempotent, CallClass::NonIdempotent}) {
+    Harness it{4};
+    const CallId id = it.arrive(callClass);
+    for (std::size_t n = 0; n < it.sendsOf(id).size(); ++n) {
+      it.respond(it.sendsOf(id)[n], ResponseKind::MisleadingFailure);
+      EXPECT_EQ(it.LastAction, ResponseAction::Drop);
+    }
+    EXPECT_EQ(it.sendsOf(id).size(), callClass == CallClass::Idempotent ? 2U : 1U);
+    ASSERT_TRUE(it.Refused.contains(id));
+    EXPECT_EQ(it.Refused[id].Executed, Execution::Unknown);
+    EXPECT_EQ(it.Refused[id].Kind, FailureKind::UpstreamError);
+  }
+}
+
+// Guards against the same promise by way of a retry: the second upstream did not run the request,
+// but the first one did.
+TEST(Attempts, ANotRunAfterAMisleadingFailureProvesNothing) {
+  Harness it{4};
+  const CallId id = it.arrive();
+  it.respond(it.firstSendOf(id), ResponseKind::MisleadingFailure);
+  ASSERT_EQ(it.sendsOf(id).size(), 2U);
+  it.respond(it.sendsOf(id)[1], ResponseKind::NotRun);
+  ASSERT_TRUE(it.Refused.contains(id));
+  EXPECT_EQ(it.Refused[id].Executed, Execution::Unknown);
+}
+
+// Guards against the same promise while a hedge runs, and against a hedge that is given up for it.
+TEST(Attempts, AMisleadingFailureLeavesTheHedgeRunning) {
+  Harness it{6};
+  it.learnWorkTime();
+  const CallId id = it.arrive();
+  it.Loads[it.firstSendOf(id).Upstream].SlownessPercent = 400;
+  it.advance(std::chrono::milliseconds{150});
+  ASSERT_EQ(it.sendsOf(id).size(), 2U);
+  it.respond(it.firstSendOf(id), ResponseKind::MisleadingFailure);
+  EXPECT_EQ(it.LastAction, ResponseAction::Drop);
+  EXPECT_FALSE(it.Refused.contains(id));
+  it.respond(it.sendsOf(id)[1], ResponseKind::NotRun);
+  ASSERT_TRUE(it.Refused.contains(id));
+  EXPECT_EQ(it.Refused[id].Executed, Execution::Unknown);
+}
+
 // Some responses of the upstreams are corrupt. Guards against invalid responses that reach the
 // caller although there is time to retry at another upstream.
 TEST(Attempts, IdempotentRequestsAreRetriedAfterInvalidResponses) {
