LibFleet: Name only VMs to callers that ran a few seconds ago

What callers saw: after a loss of VMs, the directory named lost VMs of other data centres beside running ones for 10 s and more; callers lose a second at each.

Cause: one belief, "alive", served all uses and had the time that the slowest one needs: 15 s for VMs of other data centres, counted from the arrival of a state, so a state that was forwarded late counted for 15 s more, and so did one that had waited for a frozen process.

Change: states carry their age, and the directory names VMs whose state is at most 4 s old.

--- a/Libraries/LibFleet/FleetCodec.cpp
+++ b/Libraries/LibFleet/FleetCodec.cpp
@@ -19,6 +19,10 @@
 constexpr std::uint32_t MaxShortRequests = 10'000;
 constexpr std::uint32_t MaxShortageAgeMs = 60'000;
 
+// States that are older are of no use for anything that asks for their age.
+constexpr std::uint32_t MaxAgeUnits = 6000;
+constexpr Duration AgeUnit = std::chrono::milliseconds{100};
+
 enum Flag : std::uint32_t { ReadyFlag = 1, StoppingFlag = 2, StoreDisconnectedFlag = 4 };
 
 /// Most VMs are in the era of the sender. To leave it out keeps a message with many VMs below the
@@ -35,6 +39,8 @@
   out.set_revision(vm.Revision.Number);
   if (vm.Revision.Era != eraOfSender)
     out.set_era(vm.Revision.Era);
+  const auto units = (vm.Age + AgeUnit - Duration{1}) / AgeUnit;
+  out.set_age(static_cast<std::uint32_t>(std::clamp<std::int64_t>(units, 0, MaxAgeUnits)));
 }
 
 FleetVm decode(const fleetwire::Vm &in, std::uint64_t eraOfSender) {
@@ -47,7 +53,8 @@
           .IsStoreDisconnected = (in.flags() & StoreDisconnectedFlag) != 0,
           .Weight = in.weight(),
           .DataCentreWeight = in.data_centre_weight(),
-          .Revision = {in.has_era() ? in.era() : eraOfSender, in.revision()}};
+          .Revision = {in.has_era() ? in.era() : eraOfSender, in.revision()},
+          .Age = AgeUnit * static_cast<int>(std::min(in.age(), MaxAgeUnits))};
 }
 
 AnswerWanted decodeWanted(std::uint32_t wanted) {
--- a/Libraries/LibFleet/FleetMembership.cpp
+++ b/Libraries/LibFleet/FleetMembership.cpp
@@ -150,7 +150,10 @@
   addMessage(pickPeer(true, now), false, wanted);
   if (LocalPeerCount > MaxLocalPeersForOneMessage)
     addMessage(pickPeer(true, now), false, wanted);
-  if (wantsNews || TickCount % RemoteGossipIntervalTicks == 0)
+  // Callers may get only addresses of VMs that ran a few seconds ago.
+  if (namesRemoteVms(now))
+    addMessage(pickPeer(false, now), true, AnswerWanted::Own);
+  else if (wantsNews || TickCount % RemoteGossipIntervalTicks == 0)
     addMessage(pickPeer(false, now), true, wanted);
   const bool isIsolated = now - ReceivedAt > IsolatedAfter;
   const bool wantsContact = isIsolated || now - StartedAt < JoinDuration;
@@ -170,13 +173,14 @@
   if (sender != Self.Ip)
     WarmupHolders.didReceive(now);
   const bool isNew = !Peers.contains(sender);
-  merge(message.Sender, now);
+  const Duration delay = delayOf(message, now);
+  merge(message.Sender, delay, now);
   if (const auto it = Peers.find(sender); it != Peers.end()) {
     it->second.ContactAt = now;
     it->second.StoreDownAt = toOwnTime(message.StoreDownAt, now);
   }
   for (const FleetVm &it : message.Others)
-    merge(it, now);
+    merge(it, delay, now);
   if (sender == Self.Ip)
     return {};
   if (const auto reachedAt = toOwnTime(message.StoreReachedAt, now))
@@ -193,6 +197,13 @@
   return {addressTo(sender, std::move(answer), now)};
 }
 
+Duration FleetMembership::delayOf(const FleetMessage &message, TimePoint now) const {
+  if (message.SentAtMs == 0)
+    return Duration::zero();
+  return Clocks.delayOf(message.Sender.Ip,
+                        {.Incarnation = message.Sender.Incarnation, .Ms = message.SentAtMs}, now);
+}
+
 std::optional<TimePoint> FleetMembership::toOwnTime(const std::optional<ClockReading> &reading,
                                                     TimePoint now) const {
   if (!reading || reading->Incarnation != Self.Incarnation)
@@ -262,7 +273,7 @@
   return changes;
 }
 
-void FleetMembership::merge(const FleetVm &vm, TimePoint now) {
+void FleetMembership::merge(const FleetVm &vm, Duration delay, TimePoint now) {
   if (vm.Ip == Self.Ip) {
     // Peers know a higher incarnation of this VM, because its clock was set back between two
     // starts. They accept the state of this process only with an even higher one.
@@ -270,7 +281,9 @@
       Self.Incarnation = vm.Incarnation + 1;
     return;
   }
-  const auto [it, isNew] = Peers.try_emplace(vm.Ip, Peer{.Vm = vm, .HeardAt = now});
+  const TimePoint sentAt = now - vm.Age - delay;
+  const auto [it, isNew] =
+      Peers.try_emplace(vm.Ip, Peer{.Vm = vm, .HeardAt = now, .SentAt = sentAt});
   if (isNew)
     return WarmupHolders.didHear(vm, now);
   FleetVm &known = it->second.Vm;
@@ -279,6 +292,7 @@
     return;
   known = vm;
   it->second.HeardAt = now;
+  it->second.SentAt = sentAt;
   WarmupHolders.didHear(vm, now);
 }
 
@@ -293,17 +307,24 @@
   return peers;
 }
 
+FleetVm FleetMembership::stateOf(const Peer &peer, TimePoint now) {
+  FleetVm vm = peer.Vm;
+  vm.Age = now - peer.SentAt;
+  return vm;
+}
+
 FleetMessage FleetMembership::composeMessage(bool isToRemote, TimePoint now) {
   FleetMessage out = messageWithSelf(now);
   for (const Peer *it :
        mostRecentlyHeard(true, isToRemote ? MaxLocalOthersToRemote : MaxLocalOthers, now))
-    out.Others.push_back(it->Vm);
+    out.Others.push_back(stateOf(*it, now));
   if (!isToRemote) {
     for (const Peer *it : mostRecentlyHeard(false, MaxOthers - out.Others.size(), now))
-      out.Others.push_back(it->Vm);
+      out.Others.push_back(stateOf(*it, now));
   } else {
-    for (FleetVm &it : readersOf(Self.DataCentre, now))
-      out.Others.push_back(std::move(it));
+    for (const FleetVm &it : readersOf(Self.DataCentre, now))
+      if (const auto peer = Peers.find(it.Ip); peer != Peers.end())
+        out.Others.push_back(stateOf(peer->second, now));
   }
   return out;
 }
--- a/Libraries/LibFleet/FleetMembership.h
+++ b/Libraries/LibFleet/FleetMembership.h
@@ -68,6 +68,8 @@
 public:
   /// Time between two calls of `tick`.
   static constexpr Duration GossipInterval = std::chrono::milliseconds{500};
+  /// Number of addresses below which a caller also gets those of VMs in other data centres.
+  static constexpr std::size_t MinAddresses = 2;
 
   /// `seeds` are the VMs that this VM contacts to join the fleet. `rngSeed` initializes the random
   /// number generator.
@@ -151,7 +153,8 @@
   ShareAssignment shareAssignment(ShareRetention retention, TimePoint now) const;
   /// Addresses of ready VMs for a caller in a data centre. VMs are chosen at random, in proportion
   /// to their weights. VMs of other data centres are included only if fewer than two VMs of that
-  /// data centre are ready.
+  /// data centre are ready. Callers try each address that they get, so VMs are named only if they
+  /// are known to have run a few seconds ago.
   std::vector<VmAddress> addressesForCaller(std::string_view dataCentre, std::size_t maxCount,
                                             TimePoint now);
   /// VMs of this data centre that became alive ("up") or dead ("down") since the last call, for
@@ -163,6 +166,9 @@
     FleetVm Vm;
     /// When a newer state of the VM last arrived.
     TimePoint HeardAt{};
+    /// When the VM sent that state, which other VMs may have kept for a while. At worst too late,
+    /// by the time on the network.
+    TimePoint SentAt{};
     /// When a message of the VM itself last arrived.
     std::optional<TimePoint> ContactAt{};
     /// What that message said of the store.
@@ -171,8 +177,17 @@
   };
 
   bool isAlive(const Peer &peer, TimePoint now) const;
+  /// Whether callers may get the address of this VM.
+  static bool isNamedToCallers(const Peer &peer, TimePoint now);
+  /// Whether callers of this data centre get addresses of others.
+  bool namesRemoteVms(TimePoint now) const;
   bool isInOwnDataCentre(const FleetVm &vm) const { return vm.DataCentre == Self.DataCentre; }
-  void merge(const FleetVm &vm, TimePoint now);
+  /// Takes over the state of a VM, if it is newer, from a message that was under way for so long.
+  void merge(const FleetVm &vm, Duration delay, TimePoint now);
+  /// The known state of a VM with its age, as messages contain it.
+  static FleetVm stateOf(const Peer &peer, TimePoint now);
+  /// How much longer than usual a message was on its way.
+  Duration delayOf(const FleetMessage &message, TimePoint now) const;
   /// Returns a message with the state of this VM only.
   FleetMessage messageWithSelf(TimePoint now) const;
   /// Adds what depends on the receiver to a message.
--- a/Libraries/LibFleet/FleetMembershipRoles.cpp
+++ b/Libraries/LibFleet/FleetMembershipRoles.cpp
@@ -20,6 +20,10 @@
 // of links, because a VM that can't be reached may still send requests to upstreams.
 constexpr Duration ShareHolderRetention = std::chrono::seconds{10};
 constexpr std::size_t ReadersPerDataCentre = 1;
+// The directory names VMs that ran within this time. Callers that get the address of a lost VM lose
+// a second; users allow the directory three seconds more than a fleet takes to settle. A state that
+// was forwarded through a large data centre is up to this old.
+constexpr Duration NamedToCallersFor = std::chrono::seconds{4};
 // A VM that was heard within this time is probably still running.
 constexpr Duration RecentContact = std::chrono::seconds{1};
 
@@ -195,16 +199,31 @@
   return {self, Self.DataCentre, std::move(dataCentres), std::move(localVms)};
 }
 
+bool FleetMembership::isNamedToCallers(const Peer &peer, TimePoint now) {
+  return peer.Vm.IsReady && !peer.Vm.IsStopping && now - peer.SentAt < NamedToCallersFor;
+}
+
+bool FleetMembership::namesRemoteVms(TimePoint now) const {
+  const auto others = std::ranges::count_if(Peers, [&](const auto &it) {
+    return isInOwnDataCentre(it.second.Vm) && isNamedToCallers(it.second, now);
+  });
+  return others + 1 < static_cast<std::ptrdiff_t>(MinAddresses);
+}
+
 std::vector<VmAddress> FleetMembership::addressesForCaller(std::string_view dataCentre,
                                                            std::size_t maxCount, TimePoint now) {
   std::vector<FleetVm> local;
   std::vector<FleetVm> remote;
-  for (const FleetVm &it : aliveVms(now))
-    if (it.IsReady && !it.IsStopping)
-      (it.DataCentre == dataCentre ? local : remote).push_back(it);
-  constexpr std::size_t minAddresses = 2;
+  const auto add = [&](const FleetVm &it) {
+    (it.DataCentre == dataCentre ? local : remote).push_back(it);
+  };
+  if (Self.IsReady && !Self.IsStopping)
+    add(Self);
+  for (const auto &[ip, peer] : Peers)
+    if (isNamedToCallers(peer, now))
+      add(peer.Vm);
   std::vector<FleetVm> candidates = local;
-  if (local.size() < minAddresses)
+  if (local.size() < MinAddresses)
     candidates.insert(candidates.end(), remote.begin(), remote.end());
   std::uint32_t largestWeight = 1;
   for (const FleetVm &it : candidates)
@@ -216,7 +235,7 @@
     if (Rng.unit() * largestWeight < it.Weight)
       result.push_back(it.Ip);
   for (const FleetVm &it : candidates)
-    if (result.size() < minAddresses && std::ranges::find(result, it.Ip) == result.end())
+    if (result.size() < MinAddresses && std::ranges::find(result, it.Ip) == result.end())
       result.push_back(it.Ip);
   std::ranges::shuffle(result, Rng.engine());
   result.resize(std::min(result.size(), maxCount));
--- a/Libraries/LibFleet/FleetMessage.h
+++ b/Libraries/LibFleet/FleetMessage.h
@@ -32,6 +32,9 @@
   std::uint32_t DataCentreWeight = 0;
   /// Revision of the VM's replica of the store.
   StoreRevision Revision = 0;
+  /// How long the VMs that forwarded this state have kept it; zero in the VM's own messages. The
+  /// time on the network is not included.
+  Duration Age{};
 
   bool operator==(const FleetVm &) const = default;
 };
--- a/Libraries/LibFleet/PeerClocks.cpp
+++ b/Libraries/LibFleet/PeerClocks.cpp
@@ -28,6 +28,14 @@
   peer.HeardAt = now;
 }
 
+Duration PeerClocks::delayOf(VmAddress vm, const ClockReading &sentAt, TimePoint now) const {
+  const auto it = Peers.find(vm);
+  if (it == Peers.end() || it->second.Incarnation != sentAt.Incarnation)
+    return Duration::zero();
+  const Duration lead = now.time_since_epoch() - std::chrono::milliseconds{sentAt.Ms};
+  return std::max(Duration::zero(), lead - leadAt(it->second, now));
+}
+
 std::optional<ClockReading> PeerClocks::toClockOf(VmAddress vm, TimePoint time,
                                                   TimePoint now) const {
   const auto it = Peers.find(vm);
--- a/Libraries/LibFleet/PeerClocks.h
+++ b/Libraries/LibFleet/PeerClocks.h
@@ -30,6 +30,9 @@
 public:
   /// A message of a VM has arrived that was sent at `sentAt` on the clock of that VM.
   void didReceive(VmAddress vm, const ClockReading &sentAt, TimePoint now);
+  /// How much longer than the fastest known message a message was on its way that arrives now, also
+  /// if it lay here while this process was frozen. At worst too short. Zero for unknown VMs.
+  Duration delayOf(VmAddress vm, const ClockReading &sentAt, TimePoint now) const;
   /// Empty if no message of the VM has arrived, or if its clock started after that time.
   std::optional<ClockReading> toClockOf(VmAddress vm, TimePoint time, TimePoint now) const;
   /// Forgets VMs that have sent nothing for a while.
--- a/Tests/LibFleet/TestFleet.cpp
+++ b/Tests/LibFleet/TestFleet.cpp
@@ -1,4 +1,5 @@
 #include <LibFleet/LibFleet.h>
+#include <Tests/LibFleet/GossipNetwork.h>
 
 #include <gtest/gtest.h>
 
@@ -8,59 +9,9 @@
 
 namespace wigeonlift {
 
-namespace {
-
-constexpr TimePoint Start{std::chrono::seconds{100}};
-
-VmAddress ip(int n) { return 0x0a000000U + static_cast<VmAddress>(n); }
-
-/// A simulated fleet whose VMs exchange datagrams without delay.
-class Network {
-public:
-  Network(int vms, int dataCentres) {
-    for (int n = 1; n <= vms; ++n)
-      add(n, n % dataCentres);
-  }
-
-  void add(int n, int dataCentre, std::uint32_t weight = 100) {
-    FleetVm self{.Ip = ip(n),
-                 .DataCentre = std::string(1, static_cast<char>('a' + dataCentre)),
-                 .Incarnation = 1,
-                 .Weight = weight};
-    const std::vector<VmAddress> seeds{ip(1), ip(2)};
-    Vms[ip(n)] = std::make_unique<FleetMembership>(self, seeds, static_cast<std::uint64_t>(n), Now);
-    Vms[ip(n)]->setReady(true);
-    Vms[ip(n)]->setRevision(1);
-  }
-
-  void run(Duration duration) {
-    for (const TimePoint end = Now + duration; Now < end; Now += FleetMembership::GossipInterval)
-      for (auto &[address, vm] : Vms)
-        if (!UnreachableVms.contains(address))
-          deliver(address, vm->tick(Now));
-  }
-
-  void deliver(VmAddress, const std::vector<FleetDatagram> &datagrams) {
-    for (const FleetDatagram &it : datagrams)
-      if (Vms.contains(it.To) && !UnreachableVms.contains(it.To)) {
-        const auto decoded = decodeFleetMessage(encodeFleetMessage(it.Message));
-        ASSERT_TRUE(decoded);
-        deliver(it.To, Vms[it.To]->didReceive(*decoded, Now));
-      }
-  }
-
-  FleetMembership &vm(int n) { return *Vms.at(ip(n)); }
-
-  std::map<VmAddress, std::unique_ptr<FleetMembership>> Vms;
-  std::set<VmAddress> UnreachableVms;
-  TimePoint Now = Start;
-};
-
-} // namespace
-
 // Guards against VMs that start at the same time and don't discover each other within 2 s.
 TEST(FleetMembership, VmsThatStartTogetherDiscoverEachOther) {
-  Network net{16, 3};
+  GossipNetwork net{16, 3};
   net.run(std::chrono::milliseconds{1500});
   for (int n = 1; n <= 16; ++n)
     EXPECT_EQ(net.vm(n).aliveVms(net.Now).size(), 16U) << n;
@@ -70,7 +21,7 @@
 // into the datagrams. In the benchmark run obiyama-gw-grown scale-1 this affected most of 109 VMs,
 // which then got changes only by chance.
 TEST(FleetMembership, LargeFleetsConsiderNoLiveVmDead) {
-  Network net{109, 4};
+  GossipNetwork net{109, 4};
   net.run(std::chrono::seconds{8});
   for (int n = 0; n < 40; ++n) {
     net.run(FleetMembership::GossipInterval);
@@ -87,7 +38,7 @@
 
 // Guards against callers that get the address of a VM that has died.
 TEST(FleetMembership, DeadVmsAreNotListed) {
-  Network net{12, 4};
+  GossipNetwork net{12, 4};
   net.run(std::chrono::seconds{5});
   net.UnreachableVms.insert(ip(5));
   net.run(std::chrono::seconds{6});
@@ -100,7 +51,7 @@
 // Guards against callers that get the address of a stopping VM because other VMs learn of the stop
 // only by gossip.
 TEST(FleetMembership, StoppingVmsAreUnlistedAtOnce) {
-  Network net{12, 4};
+  GossipNetwork net{12, 4};
   net.run(std::chrono::seconds{5});
   net.deliver(ip(5), net.vm(5).stop(net.Now));
   for (int n = 1; n <= 12; ++n) {
@@ -114,7 +65,7 @@
 // that has just started. In the benchmark run obiyama scale-1 there were 406 repeated requests in
 // 10 s, where 355 are allowed.
 TEST(FleetMembership, BudgetsCountUnreachableVms) {
-  Network net{12, 4};
+  GossipNetwork net{12, 4};
   EXPECT_LE(net.vm(1).budgetShare(net.Now), 1.0 / 12);
   net.run(std::chrono::seconds{5});
   for (int n = 2; n <= 8; ++n)
@@ -127,7 +78,7 @@
 // with a small weight. In the benchmark run obiyama-gw-grown scale-1 their requests waited 150 ms,
 // those of the small VMs 5 ms.
 TEST(FleetMembership, BudgetsAreSharedByWeight) {
-  Network net{4, 1};
+  GossipNetwork net{4, 1};
   net.add(5, 0, 600);
   net.run(std::chrono::seconds{4});
   EXPECT_DOUBLE_EQ(net.vm(5).budgetShare(net.Now), 0.6);
@@ -137,7 +88,7 @@
 // Guards against a data centre without a reader, and against a number of store calls that grows
 // with the fleet.
 TEST(FleetMembership, EachDataCentreHasOneReader) {
-  Network net{16, 3};
+  GossipNetwork net{16, 3};
   net.run(std::chrono::seconds{4});
   std::map<std::string, int> readers;
   for (const auto &[address, vm] : net.Vms)
@@ -148,7 +99,7 @@
 
 // Guards against a data centre that keeps a reader whose calls to the store fail.
 TEST(FleetMembership, AnotherVmReadsWhenTheReaderIsDisconnected) {
-  Network net{12, 3};
+  GossipNetwork net{12, 3};
   net.run(std::chrono::seconds{4});
   for (auto &[address, vm] : net.Vms)
     if (vm->isReader(net.Now))
@@ -160,7 +111,7 @@
 
 // Guards against a change that is delayed until the next tick of each VM that forwards it.
 TEST(FleetMembership, ChangesAreSentToLocalVmsAndRemoteReaders) {
-  Network net{12, 3};
+  GossipNetwork net{12, 3};
   net.run(std::chrono::seconds{4});
   const auto reader =
       std::ranges::find_if(net.Vms, [&](const auto &it) { return it.second->isReader(net.Now); });
@@ -175,7 +126,7 @@
 // VMs of its own until the next ticks. In a benchmark run of a day on obiyama-gw-grown this took
 // 2.6 s, where 2.5 s are allowed.
 TEST(FleetMembership, ChangesFromOtherDataCentresAreSentToAllLocalVms) {
-  Network net{12, 3};
+  GossipNetwork net{12, 3};
   net.run(std::chrono::seconds{4});
   const StoreDelta delta{.Items = {{.Key = "k", .Value = "v", .Revision = 2}}, .AsOf = 2};
   EXPECT_EQ(net.vm(1).propagate(delta, 1, PropagationScope::AllLocalVms, net.Now).size(), 3U);
@@ -184,7 +135,7 @@
 
 // Guards against VMs with a small weight that get as many callers as those with a large weight.
 TEST(FleetMembership, VmsWithLargeWeightsAreListedMoreOften) {
-  Network net{4, 1};
+  GossipNetwork net{4, 1};
   net.add(5, 0, 500);
   net.run(std::chrono::seconds{4});
   std::map<VmAddress, int> counts;
@@ -197,7 +148,7 @@
 // Guards against upstreams that are removed after an outage of the store although all VMs noticed
 // the outage, and against removals that are delayed because a single VM couldn't reach the store.
 TEST(FleetMembership, OutageIsCertainOnlyIfNoDataCentreReachesTheStore) {
-  Network net{6, 3};
+  GossipNetwork net{6, 3};
   net.run(std::chrono::seconds{4});
   constexpr Duration maxSilence = std::chrono::seconds{2};
   EXPECT_EQ(net.vm(1).storeOutage(maxSilence, net.Now), StoreOutage::None);
@@ -215,7 +166,7 @@
 // Guards against a restarted VM whose state is ignored as outdated, because its clock was set back
 // before the start.
 TEST(FleetMembership, RestartedVmGetsAHigherIncarnation) {
-  Network net{3, 1};
+  GossipNetwork net{3, 1};
   net.run(std::chrono::seconds{4});
   FleetVm self = net.vm(3).self();
   self.Incarnation = 0;
@@ -246,7 +197,7 @@
 // Guards against data centres that all rely on each other to ask the store, and against one whose
 // readers don't reach it.
 TEST(FleetMembership, OneReaderThatReachesTheStoreLeads) {
-  Network net{12, 3};
+  GossipNetwork net{12, 3};
   net.run(std::chrono::seconds{8});
   const auto leadsIn = [&](std::string_view dataCentre) {
     return std::ranges::count_if(net.Vms, [&](const auto &it) {
@@ -268,7 +219,7 @@
 // Guards against VMs of a large fleet that don't know most VMs of other data centres and take too
 // large shares of the budgets. They use none of the common allowance for 10 s after their start.
 TEST(FleetMembership, SharesAddUpToOneThoughVmsDoNotKnowEachOther) {
-  Network net{472, 6};
+  GossipNetwork net{472, 6};
   net.run(std::chrono::seconds{8});
   for (int n = 0; n < 4; ++n) {
     double sum = 0;
@@ -284,7 +235,7 @@
 // and that stays alone for seconds after it can be reached again. Changes reached it too late.
 TEST(FleetMembership, VmsThatWereCutOffAreBackWithinASecond) {
   for (const bool areSeedsGone : {false, true}) {
-    Network net{8, 2};
+    GossipNetwork net{8, 2};
     net.run(std::chrono::seconds{8});
     net.UnreachableVms = {ip(8)};
     net.run(std::chrono::seconds{20});
@@ -323,7 +274,7 @@
 // Guards against a data centre that has no reader until the reader's disconnection from the store
 // is known by gossip. In a benchmark run of kapokki-gw-grown with 37 VMs this took seconds.
 TEST(FleetMembership, NextReaderLearnsOfADisconnectionAtOnce) {
-  Network net{74, 2};
+  GossipNetwork net{74, 2};
   net.run(std::chrono::seconds{8});
   const auto reader = std::ranges::find_if(net.Vms, [&](const auto &it) {
     return it.second->self().DataCentre == "a" && it.second->isReader(net.Now);
@@ -340,7 +291,7 @@
 // lost on the way or sent while there are none.
 TEST(FleetCodec, DatagramsCarryShortagesWithinTheirSize) {
   constexpr std::size_t maxBytes = 1300;
-  Network net{109, 4};
+  GossipNetwork net{109, 4};
   net.run(std::chrono::seconds{8});
   FleetMembership &vm = net.vm(1);
   for (const FleetDatagram &it : vm.tick(net.Now))
