LibFleet: One account of shares; a VM that knows nobody holds no limit

What callers saw: after a loss of power, three VMs returned while their seeds stayed off; each used the whole of every limit that an upstream named, so the upstream got almost twice what it accepts.

Cause: named limits had an account of their own, in which silence made a VM alone: 3 s after its start it counted only the VMs that it knew. The account of cold upstreams' rates held nothing in this state.

Change: ShareHolders answers for both. It holds nothing before another VM and a seed were heard of, leaves the parts of unknown seeds unused, and never lets a part of a divided fleet take over what another part may still use. Ages of states count, not their arrival. Without named seeds a VM is alone. VMs contact silent ones of their data centre, which may have started again.

LimitedFleet names no seeds that don't exist.

--- a/Libraries/LibBalance/UpstreamLimits.cpp
+++ b/Libraries/LibBalance/UpstreamLimits.cpp
@@ -150,10 +150,10 @@
 }
 
 Duration UpstreamLimits::recheckInterval() {
-  const double seconds = 1 / (RechecksPerSecond * Assignment.ownFraction());
+  const double perSecond = RechecksPerSecond * Assignment.ownFraction();
   const double bounded =
-      std::clamp(seconds, toSeconds(MinRecheckInterval), toSeconds(MaxRecheckInterval));
-  return fromSeconds(bounded * (1 + RecheckJitter * (Rng.unit() - 0.5)));
+      std::clamp(perSecond, 1 / toSeconds(MaxRecheckInterval), 1 / toSeconds(MinRecheckInterval));
+  return fromSeconds(1 / bounded * (1 + RecheckJitter * (Rng.unit() - 0.5)));
 }
 
 std::optional<double> UpstreamLimits::requestsPerSecond(UpstreamIndex upstream) const {
--- a/Libraries/LibBudget/ShareAssignment.cpp
+++ b/Libraries/LibBudget/ShareAssignment.cpp
@@ -69,6 +69,8 @@
 }
 
 double ShareAssignment::ownFraction() const {
+  if (HoldsNothing)
+    return 0;
   double weight = 0;
   for (const DataCentre &it : DataCentres)
     weight += it.Weight;
--- a/Libraries/LibBudget/ShareAssignment.h
+++ b/Libraries/LibBudget/ShareAssignment.h
@@ -36,7 +36,8 @@
 
   /// How many of the shares of the thing with this key this VM holds.
   int heldShares(std::uint64_t key, int shareCount) const;
-  /// The weight of this VM as a fraction of that of the fleet.
+  /// The weight of this VM as a fraction of that of the fleet. Zero for a VM that may not use any
+  /// share.
   double ownFraction() const;
 
   bool operator==(const ShareAssignment &) const = default;
--- a/Libraries/LibFleet/FleetCodec.cpp
+++ b/Libraries/LibFleet/FleetCodec.cpp
@@ -163,6 +163,8 @@
   }
   for (const ServiceShortage &it : message.Shortages)
     encode(it, out);
+  for (const VmAddress it : message.KnownSeeds)
+    out.add_known_seeds(it);
   if (message.Delta)
     encode(*message.Delta, message.DeltaAfter, *out.mutable_delta());
   return out.SerializeAsString();
@@ -195,6 +197,7 @@
                        .Others = {},
                        .Wanted = decodeWanted(in.wanted()),
                        .Shortages = decodeShortages(in),
+                       .KnownSeeds = {in.known_seeds().begin(), in.known_seeds().end()},
                        .Delta = {},
                        .DeltaAfter = {in.delta().era(), in.delta().after()}};
   for (const auto &it : in.others())
--- a/Libraries/LibFleet/FleetMembership.cpp
+++ b/Libraries/LibFleet/FleetMembership.cpp
@@ -27,13 +27,15 @@
 constexpr Duration LocalDeadAfter = std::chrono::milliseconds{3000};
 constexpr Duration LocalDeadAfterPerVm = std::chrono::milliseconds{50};
 constexpr Duration RemoteDeadAfter = std::chrono::seconds{15};
-// How long VMs that are no longer heard of are kept. `budgetShare` needs them for
-// `BudgetPeerRetention`, which must not be longer.
+// How long VMs that are no longer heard of are kept, to find them again.
 constexpr Duration ForgetAfter = std::chrono::seconds{120};
 // After its start, a VM contacts a seed with each tick for this long. Afterwards it does so every
 // `SeedContactIntervalTicks`, or with each tick while it is isolated.
 constexpr Duration JoinDuration = std::chrono::seconds{5};
 constexpr std::uint64_t SeedContactIntervalTicks = 20;
+// How often a VM sends to one of its data centre that is no longer heard of. That VM may have
+// started again while no seed could tell it of the others.
+constexpr std::uint64_t SilentPeerIntervalTicks = 4;
 // A VM that receives nothing for this long is isolated. The others may take it for dead and send
 // nothing either when it can be reached again.
 constexpr Duration IsolatedAfter = std::chrono::seconds{2};
@@ -50,7 +52,7 @@
 FleetMembership::FleetMembership(FleetVm self, std::vector<VmAddress> seeds, std::uint64_t rngSeed,
                                  TimePoint startedAt)
     : Self(std::move(self)), Seeds(std::move(seeds)), Rng(rngSeed), StartedAt(startedAt),
-      ReceivedAt(startedAt), WarmupHolders(startedAt) {
+      ReceivedAt(startedAt), Holders(Self.Ip, Seeds, startedAt) {
   std::erase(Seeds, Self.Ip);
   // VMs that start together turn to different seeds.
   std::ranges::shuffle(Seeds, Rng.engine());
@@ -98,7 +100,8 @@
 FleetMessage FleetMembership::messageWithSelf(TimePoint now) const {
   return {.Sender = Self,
           .SentAtMs = static_cast<std::uint64_t>(toMilliseconds(now.time_since_epoch())),
-          .Shortages = Shortages};
+          .Shortages = Shortages,
+          .KnownSeeds = Holders.knownSeeds()};
 }
 
 FleetDatagram FleetMembership::addressTo(VmAddress to, FleetMessage message, TimePoint now) const {
@@ -133,7 +136,7 @@
   ++TickCount;
   ++Self.HeartbeatCount;
   Clocks.expire(now);
-  WarmupHolders.expire(now);
+  Holders.expire(Self, now);
   std::erase_if(Peers, [&](const auto &it) { return now - it.second.HeardAt > ForgetAfter; });
   std::vector<FleetDatagram> datagrams;
   std::set<VmAddress> receivers;
@@ -146,7 +149,7 @@
   LocalPeerCount = static_cast<std::size_t>(std::ranges::count_if(
       Peers, [&](const auto &it) { return isInOwnDataCentre(it.second.Vm); }));
   const auto wanted = wantsNews ? AnswerWanted::Own : AnswerWanted::None;
-  Self.DataCentreWeight = localWeight(now);
+  Self.DataCentreWeight = Holders.localWeight(Self, now);
   addMessage(pickPeer(true, now), false, wanted);
   if (LocalPeerCount > MaxLocalPeersForOneMessage)
     addMessage(pickPeer(true, now), false, wanted);
@@ -164,14 +167,18 @@
       addMessage(it, false, wantsContact ? AnswerWanted::All : AnswerWanted::None);
   if (isIsolated)
     addMessage(pickKnownPeer(), false, AnswerWanted::All);
+  else if (TickCount % SilentPeerIntervalTicks == 0)
+    addMessage(pickSilentLocalPeer(now), false, AnswerWanted::None);
   return datagrams;
 }
 
 std::vector<FleetDatagram> FleetMembership::didReceive(const FleetMessage &message, TimePoint now) {
   ReceivedAt = now;
   const VmAddress sender = message.Sender.Ip;
-  if (sender != Self.Ip)
-    WarmupHolders.didReceive(now);
+  if (sender != Self.Ip) {
+    Holders.didReceive(now);
+    Holders.didHearOfSeeds(message.KnownSeeds, now);
+  }
   const bool isNew = !Peers.contains(sender);
   const Duration delay = delayOf(message, now);
   merge(message.Sender, delay, now);
@@ -285,7 +292,7 @@
   const auto [it, isNew] =
       Peers.try_emplace(vm.Ip, Peer{.Vm = vm, .HeardAt = now, .SentAt = sentAt});
   if (isNew)
-    return WarmupHolders.didHear(vm, now);
+    return Holders.didHear(vm, sentAt, now);
   FleetVm &known = it->second.Vm;
   if (std::pair{vm.Incarnation, vm.HeartbeatCount} <=
       std::pair{known.Incarnation, known.HeartbeatCount})
@@ -293,7 +300,7 @@
   known = vm;
   it->second.HeardAt = now;
   it->second.SentAt = sentAt;
-  WarmupHolders.didHear(vm, now);
+  Holders.didHear(vm, sentAt, now);
 }
 
 std::vector<const FleetMembership::Peer *>
@@ -339,6 +346,16 @@
   return choices[Rng.below(choices.size())];
 }
 
+std::optional<VmAddress> FleetMembership::pickSilentLocalPeer(TimePoint now) {
+  std::vector<VmAddress> choices;
+  for (const auto &[ip, peer] : Peers)
+    if (isInOwnDataCentre(peer.Vm) && !peer.Vm.IsStopping && !isAlive(peer, now))
+      choices.push_back(ip);
+  if (choices.empty())
+    return std::nullopt;
+  return choices[Rng.below(choices.size())];
+}
+
 std::span<const VmAddress> FleetMembership::nextSeeds(std::size_t maxCount) {
   const std::size_t count = std::min(maxCount, Seeds.size());
   if (count < Seeds.size())
--- a/Libraries/LibFleet/FleetMembership.h
+++ b/Libraries/LibFleet/FleetMembership.h
@@ -37,15 +37,6 @@
   Duration SilentFor{};
 };
 
-/// How long VMs that are no longer heard of keep their shares of a rate.
-enum class ShareRetention : std::uint8_t {
-  /// For limits that don't hold for VMs that are partitioned: 10 s.
-  NamedLimits,
-  /// For limits that hold for all VMs: 60 s, in which this VM receives messages. This VM holds no
-  /// shares before it knows the others.
-  WarmupRates,
-};
-
 /// Which VMs a change of the store is sent to. VMs that are known to have it are left out.
 enum class PropagationScope : std::uint8_t {
   LocalVmsAndRemoteReaders, ///< If the change comes from the store.
@@ -144,13 +135,14 @@
   /// and of this data centre.
   std::optional<VmAddress> findPeerAhead(StoreRevision revision, const std::set<VmAddress> &avoided,
                                          TimePoint now);
+  /// Which VM holds which shares of what the fleet divides.
+  ShareAssignment shareAssignment(SharedThing thing, TimePoint now) const {
+    return Holders.assignment(Self, thing, now);
+  }
   /// The fraction of the fleet's budgets, such as those for probes and repeated requests, that this
   /// VM may use, in proportion to its weight. VMs that are no longer heard of keep their shares for
   /// a while, since they may be running but unreachable.
   double budgetShare(TimePoint now) const;
-  /// Which VM holds which shares of rates that the fleet divides. VMs that are no longer heard of
-  /// keep theirs for a while, since they may be running but unreachable.
-  ShareAssignment shareAssignment(ShareRetention retention, TimePoint now) const;
   /// Addresses of ready VMs for a caller in a data centre. VMs are chosen at random, in proportion
   /// to their weights. VMs of other data centres are included only if fewer than two VMs of that
   /// data centre are ready. Callers try each address that they get, so VMs are named only if they
@@ -194,9 +186,7 @@
   FleetDatagram addressTo(VmAddress to, FleetMessage message, TimePoint now) const;
   std::vector<FleetDatagram> addressTo(std::span<const VmAddress> receivers,
                                        const FleetMessage &message, TimePoint now) const;
-  /// Sum of the weights of this data centre's VMs that keep their shares of the budgets.
-  std::uint32_t localWeight(TimePoint now) const;
-  /// The same for each data centre.
+  /// Weights of the data centres, of the VMs that keep their shares of the budgets.
   std::map<std::string_view, double> dataCentreWeights(TimePoint now) const;
   /// The other VMs of this data centre that are considered alive.
   std::vector<VmAddress> localVms(TimePoint now) const;
@@ -215,6 +205,8 @@
   FleetMessage composeMessage(bool isToRemote, TimePoint now);
   /// Returns a random VM among those that are considered alive.
   std::optional<VmAddress> pickPeer(bool isLocalWanted, TimePoint now);
+  /// Returns a random VM of this data centre among those that are considered dead.
+  std::optional<VmAddress> pickSilentLocalPeer(TimePoint now);
   /// Returns the seeds in turn.
   std::span<const VmAddress> nextSeeds(std::size_t maxCount);
   /// Returns a random VM, whether or not it is considered alive.
@@ -228,7 +220,7 @@
   TimePoint ReceivedAt;
   std::map<VmAddress, Peer> Peers;
   PeerClocks Clocks;
-  ShareHolders WarmupHolders;
+  ShareHolders Holders;
   /// When the store last answered a call, as far as known.
   std::optional<TimePoint> StoreReachedAt;
   std::optional<TimePoint> ReplicaConfirmedAt;
--- a/Libraries/LibFleet/FleetMembershipRoles.cpp
+++ b/Libraries/LibFleet/FleetMembershipRoles.cpp
@@ -16,9 +16,6 @@
 // share of the budgets as if the fleet had at least this many VMs of its own weight.
 constexpr double AssumedFleetSize = 12;
 constexpr Duration AssumedSizeDuration = std::chrono::seconds{3};
-// How long a VM that is no longer heard of keeps its shares of rate limits. Longer than most faults
-// of links, because a VM that can't be reached may still send requests to upstreams.
-constexpr Duration ShareHolderRetention = std::chrono::seconds{10};
 constexpr std::size_t ReadersPerDataCentre = 1;
 // The directory names VMs that ran within this time. Callers that get the address of a lost VM lose
 // a second; users allow the directory three seconds more than a fleet takes to settle. A state that
@@ -142,14 +139,6 @@
   return (*best)[Rng.below(best->size())];
 }
 
-std::uint32_t FleetMembership::localWeight(TimePoint now) const {
-  std::uint32_t weight = Self.Weight;
-  for (const auto &[ip, peer] : Peers)
-    if (isInOwnDataCentre(peer.Vm) && now - peer.HeardAt < BudgetPeerRetention)
-      weight += peer.Vm.Weight;
-  return weight;
-}
-
 std::map<std::string_view, double> FleetMembership::dataCentreWeights(TimePoint now) const {
   // A VM that has just started doesn't know all VMs of its data centre either, so the largest sum
   // counts.
@@ -181,24 +170,6 @@
   return Self.Weight / weight;
 }
 
-ShareAssignment FleetMembership::shareAssignment(ShareRetention retention, TimePoint now) const {
-  if (retention == ShareRetention::WarmupRates)
-    return WarmupHolders.assignment(Self, !Seeds.empty(), now);
-  const ShareAssignment::Vm self{.Address = Self.Ip, .Weight = static_cast<double>(Self.Weight)};
-  std::vector<ShareAssignment::Vm> localVms{self};
-  for (const auto &[ip, peer] : Peers)
-    if (isInOwnDataCentre(peer.Vm) && now - peer.HeardAt < ShareHolderRetention)
-      localVms.push_back({.Address = ip, .Weight = static_cast<double>(peer.Vm.Weight)});
-  // Stand for VMs that this one doesn't know yet. No VM has such an address.
-  if (now - StartedAt < AssumedSizeDuration)
-    for (std::uint32_t n = 1; static_cast<double>(localVms.size()) < AssumedFleetSize; ++n)
-      localVms.push_back({.Address = n, .Weight = self.Weight});
-  std::vector<ShareAssignment::DataCentre> dataCentres;
-  for (const auto &[name, weight] : dataCentreWeights(now))
-    dataCentres.push_back({.Name = std::string{name}, .Weight = weight});
-  return {self, Self.DataCentre, std::move(dataCentres), std::move(localVms)};
-}
-
 bool FleetMembership::isNamedToCallers(const Peer &peer, TimePoint now) {
   return peer.Vm.IsReady && !peer.Vm.IsStopping && now - peer.SentAt < NamedToCallersFor;
 }
--- a/Libraries/LibFleet/FleetMessage.h
+++ b/Libraries/LibFleet/FleetMessage.h
@@ -68,6 +68,8 @@
   /// The most urgent shortages of services at the sender, four at most. A service that isn't named
   /// has none, or a less urgent one.
   std::vector<ServiceShortage> Shortages{};
+  /// The seeds that the sender has heard of since its start, or VMs that it has heard.
+  std::vector<VmAddress> KnownSeeds{};
   /// Changes of the store after the revision `DeltaAfter`, or a complete copy of the store.
   std::optional<StoreDelta> Delta{};
   StoreRevision DeltaAfter = 0;
--- a/Services/Gateway/FleetTask.cpp
+++ b/Services/Gateway/FleetTask.cpp
@@ -108,9 +108,9 @@
     publish(Fleet.tick(now), "peer");
     logReplicaAge(now);
     Owner.setBudgetShare(Fleet.members().budgetShare(now));
-    Owner.setShareAssignment(Fleet.members().shareAssignment(ShareRetention::NamedLimits, now));
+    Owner.setShareAssignment(Fleet.members().shareAssignment(SharedThing::NamedLimits, now));
     if (Owner.settings().Bounds.limitsWarmup())
-      Owner.setWarmupAssignment(Fleet.members().shareAssignment(ShareRetention::WarmupRates, now));
+      Owner.setWarmupAssignment(Fleet.members().shareAssignment(SharedThing::RatesOfAllVms, now));
     for (const auto &[ip, state] : Fleet.members().takeLivenessChanges(now))
       Owner.eventLog().write(EventLog::Priority::Important, "member",
                              {{"vm", toText(ip, CallersPort)}, {"state", std::string{state}}});
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -216,11 +216,11 @@
 }
 
 void Gateway::setShareAssignment(ShareAssignment assignment) {
-  if (assignment == Shares)
+  if (assignment == LimitShares)
     return;
-  Shares = std::move(assignment);
+  LimitShares = std::move(assignment);
   for (const auto &[name, task] : Services)
-    task->setShareAssignment(Shares);
+    task->setShareAssignment(LimitShares);
 }
 
 void Gateway::setWarmupAssignment(ShareAssignment assignment) {
@@ -285,7 +285,7 @@
 std::shared_ptr<ServiceTask> Gateway::makeService(const std::string &name) {
   auto task = std::make_shared<ServiceTask>(Context, name, Settings.DataCentre,
                                             Seed ^ std::hash<std::string>{}(name), Requests);
-  task->setShareAssignment(Shares);
+  task->setShareAssignment(LimitShares);
   task->setWarmupAssignment(WarmupShares);
   task->setLatestDeadline(Stop.answersDue());
   return task;
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -134,7 +134,7 @@
   BodyMemory HeldAnswers;
   std::uint64_t LastCall = 0;
   double BudgetShare = 0.05;
-  ShareAssignment Shares;
+  ShareAssignment LimitShares = ShareAssignment::withoutShares();
   bool HasSeenConfiguration = false;
   /// Whether upstreams are learnt that the first copy of the store names.
   bool IsLoading = false;
--- a/Tests/Gateway/GatewayFixture.cpp
+++ b/Tests/Gateway/GatewayFixture.cpp
@@ -85,6 +85,8 @@
                 CallerSession session{Core, std::move(caller)};
                 co_await session.run();
               }) {
+  // The gateway is the only one.
+  Core.setShareAssignment({});
   EXPECT_TRUE(Callers.start({boost::asio::ip::address_v4::loopback(), 0}).ok());
 }
 
--- a/Tests/LibBalance/LimitedFleet.cpp
+++ b/Tests/LibBalance/LimitedFleet.cpp
@@ -271,8 +271,10 @@
                          std::string(1, static_cast<char>('a' + vm.Index % Options.DataCentres)),
                      .Incarnation = static_cast<std::uint64_t>(vm.Generation),
                      .Weight = vm.Index % 3 == 0 ? 200U : 100U};
-  vm.Members = std::make_unique<FleetMembership>(
-      self, std::vector<VmAddress>{FirstAddress, FirstAddress + 1, FirstAddress + 2}, seed, Now);
+  std::vector<VmAddress> seeds;
+  for (std::size_t n = 0; n < std::min<std::size_t>(3, Vms.size()); ++n)
+    seeds.push_back(FirstAddress + static_cast<VmAddress>(n));
+  vm.Members = std::make_unique<FleetMembership>(self, seeds, seed, Now);
   vm.Members->setReady(true);
   vm.Balancer = std::make_unique<ServiceBalancer>(seed, Now - std::chrono::minutes{1});
   vm.Balancer->setRetryBudget(0.2, 20, std::chrono::seconds{10});
@@ -327,9 +329,8 @@
 
 void LimitedFleet::gossip(Vm &vm) {
   send(vm, vm.Members->tick(Now));
-  vm.Balancer->setShareAssignment(vm.Members->shareAssignment(ShareRetention::NamedLimits, Now),
-                                  Now);
-  vm.Balancer->setWarmupAssignment(vm.Members->shareAssignment(ShareRetention::WarmupRates, Now),
+  vm.Balancer->setShareAssignment(vm.Members->shareAssignment(SharedThing::NamedLimits, Now), Now);
+  vm.Balancer->setWarmupAssignment(vm.Members->shareAssignment(SharedThing::RatesOfAllVms, Now),
                                    Now);
   inVm(vm, FleetMembership::GossipInterval + between(Duration::zero(), MaxTimerDelay),
        [this, &vm] { gossip(vm); });
