Gateway: Divide the allowance of repeats by the account of shares

What callers saw: the same three VMs without seeds each spent the whole common allowance of repeats, so upstreams that rejected requests in trouble got more repeats than they were promised.

Cause: a third account, budgetShare. It assumed a fleet of twelve for 3 s after the start, while the allowance counts only from one window (10 s) after it, and then only the VMs that this one knew; a VM that was cut off for 60 s took everything.

Change: the allowance is divided by ShareHolders, with the rates of cold upstreams. The ratio, which isn't shared, still lets a VM that knows nobody repeat a fifth of its own requests. What must not be zero there, health checks and the size of the subset, uses an estimate (requestShare). Logs and metrics say what a VM holds.

TestShares.cpp sums the repeats of whole fleets.

--- a/Libraries/LibFleet/FleetMembership.h
+++ b/Libraries/LibFleet/FleetMembership.h
@@ -139,10 +139,12 @@
   ShareAssignment shareAssignment(SharedThing thing, TimePoint now) const {
     return Holders.assignment(Self, thing, now);
   }
-  /// The fraction of the fleet's budgets, such as those for probes and repeated requests, that this
-  /// VM may use, in proportion to its weight. VMs that are no longer heard of keep their shares for
-  /// a while, since they may be running but unreachable.
-  double budgetShare(TimePoint now) const;
+  /// The fraction of the fleet's allowance of repeated requests that this VM may use, in proportion
+  /// to its weight.
+  double repeatShare(TimePoint now) const;
+  /// An estimate of the fraction of the fleet's requests that this VM gets. For what has to be more
+  /// than nothing also at a VM that doesn't know the others, and breaks no limit if it is wrong.
+  double requestShare(TimePoint now) const;
   /// Addresses of ready VMs for a caller in a data centre. VMs are chosen at random, in proportion
   /// to their weights. VMs of other data centres are included only if fewer than two VMs of that
   /// data centre are ready. Callers try each address that they get, so VMs are named only if they
@@ -186,8 +188,6 @@
   FleetDatagram addressTo(VmAddress to, FleetMessage message, TimePoint now) const;
   std::vector<FleetDatagram> addressTo(std::span<const VmAddress> receivers,
                                        const FleetMessage &message, TimePoint now) const;
-  /// Weights of the data centres, of the VMs that keep their shares of the budgets.
-  std::map<std::string_view, double> dataCentreWeights(TimePoint now) const;
   /// The other VMs of this data centre that are considered alive.
   std::vector<VmAddress> localVms(TimePoint now) const;
   /// VMs of a data centre in the order of preference as readers. Stopping VMs and VMs without a
--- a/Libraries/LibFleet/FleetMembershipRoles.cpp
+++ b/Libraries/LibFleet/FleetMembershipRoles.cpp
@@ -10,12 +10,9 @@
 
 namespace {
 
-// How long a VM that is no longer heard of keeps its share; longer than the window of any budget.
-constexpr Duration BudgetPeerRetention = std::chrono::seconds{60};
-// For `AssumedSizeDuration` after its start, a VM may not know the others yet. It then computes its
-// share of the budgets as if the fleet had at least this many VMs of its own weight.
+// A VM that doesn't know the others estimates its share of the requests as if the fleet had at
+// least this many VMs of its own weight.
 constexpr double AssumedFleetSize = 12;
-constexpr Duration AssumedSizeDuration = std::chrono::seconds{3};
 constexpr std::size_t ReadersPerDataCentre = 1;
 // The directory names VMs that ran within this time. Callers that get the address of a lost VM lose
 // a second; users allow the directory three seconds more than a fleet takes to settle. A state that
@@ -139,35 +136,13 @@
   return (*best)[Rng.below(best->size())];
 }
 
-std::map<std::string_view, double> FleetMembership::dataCentreWeights(TimePoint now) const {
-  // A VM that has just started doesn't know all VMs of its data centre either, so the largest sum
-  // counts.
-  struct DataCentre {
-    double KnownWeight = 0;
-    double ToldWeight = 0;
-  };
-  std::map<std::string_view, DataCentre> dataCentres{
-      {Self.DataCentre, {.KnownWeight = static_cast<double>(Self.Weight)}}};
-  for (const auto &[ip, peer] : Peers) {
-    if (now - peer.HeardAt >= BudgetPeerRetention)
-      continue;
-    DataCentre &it = dataCentres[peer.Vm.DataCentre];
-    it.KnownWeight += peer.Vm.Weight;
-    it.ToldWeight = std::max<double>(it.ToldWeight, peer.Vm.DataCentreWeight);
-  }
-  std::map<std::string_view, double> weights;
-  for (const auto &[name, it] : dataCentres)
-    weights[name] = std::max(it.KnownWeight, it.ToldWeight);
-  return weights;
-}
-
-double FleetMembership::budgetShare(TimePoint now) const {
-  double weight = 0;
-  for (const auto &[name, it] : dataCentreWeights(now))
-    weight += it;
-  if (now - StartedAt < AssumedSizeDuration)
-    weight = std::max(weight, AssumedFleetSize * static_cast<double>(Self.Weight));
-  return Self.Weight / weight;
+double FleetMembership::repeatShare(TimePoint now) const {
+  return shareAssignment(SharedThing::RatesOfAllVms, now).ownFraction();
+}
+
+double FleetMembership::requestShare(TimePoint now) const {
+  const double share = repeatShare(now);
+  return share > 0 ? share : 1 / AssumedFleetSize;
 }
 
 bool FleetMembership::isNamedToCallers(const Peer &peer, TimePoint now) {
--- a/Libraries/LibFleet/ShareHolders.h
+++ b/Libraries/LibFleet/ShareHolders.h
@@ -17,7 +17,8 @@
   /// Rate limits that upstreams name. They don't hold for VMs that are partitioned, so the others
   /// of a data centre take over the shares of a silent VM after 10 s.
   NamedLimits,
-  /// The rates of cold upstreams, which hold for all VMs. Silent VMs keep their shares for 60 s.
+  /// The rates of cold upstreams and the allowance of repeats, which hold for all VMs. Silent VMs
+  /// keep their shares for 60 s.
   RatesOfAllVms,
 };
 
--- a/Services/Gateway/FleetTask.cpp
+++ b/Services/Gateway/FleetTask.cpp
@@ -107,10 +107,7 @@
     Fleet.members().setShortages(Owner.shortages(now));
     publish(Fleet.tick(now), "peer");
     logReplicaAge(now);
-    Owner.setBudgetShare(Fleet.members().budgetShare(now));
-    Owner.setShareAssignment(Fleet.members().shareAssignment(SharedThing::NamedLimits, now));
-    if (Owner.settings().Bounds.limitsWarmup())
-      Owner.setWarmupAssignment(Fleet.members().shareAssignment(SharedThing::RatesOfAllVms, now));
+    shareOut(now);
     for (const auto &[ip, state] : Fleet.members().takeLivenessChanges(now))
       Owner.eventLog().write(EventLog::Priority::Important, "member",
                              {{"vm", toText(ip, CallersPort)}, {"state", std::string{state}}});
@@ -119,6 +116,19 @@
   }
 }
 
+void FleetTask::shareOut(TimePoint now) {
+  const FleetMembership &members = Fleet.members();
+  const double ofRepeats = members.repeatShare(now);
+  const bool hasShares = ofRepeats > 0;
+  if (std::exchange(HadShares, hasShares) != hasShares)
+    Owner.eventLog().write(EventLog::Priority::Important, hasShares ? "shares_held" : "shares_lost",
+                           {{"fraction", fmt::format("{:.4f}", ofRepeats)}});
+  Owner.setShares({.OfRepeats = ofRepeats, .OfRequests = members.requestShare(now)});
+  Owner.setShareAssignment(members.shareAssignment(SharedThing::NamedLimits, now));
+  if (Owner.settings().Bounds.limitsWarmup())
+    Owner.setWarmupAssignment(members.shareAssignment(SharedThing::RatesOfAllVms, now));
+}
+
 void FleetTask::logReplicaAge(TimePoint now) {
   const Duration age = Fleet.freshness().age(now);
   const bool isOld = age > Fleet.freshness().limits().MaxAgeLimit;
--- a/Services/Gateway/FleetTask.h
+++ b/Services/Gateway/FleetTask.h
@@ -53,6 +53,8 @@
   void handle(const FleetMessage &message);
   /// Logs when the replica has become older than its limit, and when it is current again.
   void logReplicaAge(TimePoint now);
+  /// Tells the services which parts of what the fleet shares this VM may use.
+  void shareOut(TimePoint now);
   /// Logs that the store was restored from an older copy.
   void logRestore(const ReplicaUpdate &update, std::string_view source);
   void sendOne(const FleetDatagram &send);
@@ -72,6 +74,8 @@
   std::uint64_t BytesSent = 0;
   std::uint64_t Pulls = 0;
   bool WasReplicaOld = false;
+  /// Whether this VM held shares of what the fleet divides.
+  bool HadShares = false;
   std::uint64_t OldReplicas = 0;
 };
 
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -210,8 +210,8 @@
   refreshServices();
 }
 
-void Gateway::setBudgetShare(double share) {
-  if (std::exchange(BudgetShare, share) != share)
+void Gateway::setShares(const FleetShares &shares) {
+  if (std::exchange(Fractions, shares) != shares)
     shareBudgets();
 }
 
@@ -294,11 +294,12 @@
 void Gateway::shareBudgets() {
   const FleetBounds &bounds = Settings.Bounds;
   for (const auto &[name, task] : Services) {
-    task->setRequestShare(BudgetShare);
-    task->setRetryBudget(bounds.RepeatRatio, SafeRepeatShare * bounds.RepeatExtra * BudgetShare,
+    task->setRequestShare(Fractions.OfRequests);
+    task->setRetryBudget(bounds.RepeatRatio,
+                         SafeRepeatShare * bounds.RepeatExtra * Fractions.OfRepeats,
                          bounds.RepeatWindow);
     task->setProbeRate(SafeProbeShare * bounds.ProbesPerUpstreamSecond *
-                       static_cast<double>(task->upstreams()) * BudgetShare);
+                       static_cast<double>(task->upstreams()) * Fractions.OfRequests);
   }
 }
 
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -42,6 +42,15 @@
   LatencyHistogram Latency;
 };
 
+/// Fractions of what all VMs of the fleet have together.
+struct FleetShares {
+  /// Of the allowance of repeats. Zero while this VM doesn't know the others.
+  double OfRepeats = 0;
+  /// Of the requests, an estimate that is never zero.
+  double OfRequests = 0.05;
+  bool operator==(const FleetShares &) const = default;
+};
+
 /// What one gateway process knows and serves: the configuration in force, the upstreams, and a task
 /// for each service. All of it is used on one thread.
 class Gateway {
@@ -54,8 +63,9 @@
   void didLearn(std::span<const StoreItem> changes, std::string_view source,
                 const EntryRemoval &removals);
   void setSettings(const GatewaySettings &settings);
-  /// Share of the fleet's budgets that this VM may spend.
-  void setBudgetShare(double share);
+  /// Sets this VM's fractions of the fleet's traffic and allowances.
+  void setShares(const FleetShares &shares);
+  const FleetShares &shares() const { return Fractions; }
   /// Sets which shares of the rate limits of upstreams this VM holds.
   void setShareAssignment(ShareAssignment assignment);
   /// Sets which shares of the rates of cold upstreams this VM holds.
@@ -133,7 +143,7 @@
   BodyMemory Bodies;
   BodyMemory HeldAnswers;
   std::uint64_t LastCall = 0;
-  double BudgetShare = 0.05;
+  FleetShares Fractions;
   ShareAssignment LimitShares = ShareAssignment::withoutShares();
   bool HasSeenConfiguration = false;
   /// Whether upstreams are learnt that the first copy of the store names.
--- a/Services/Gateway/Ports.cpp
+++ b/Services/Gateway/Ports.cpp
@@ -106,6 +106,8 @@
                  : 0);
   text.gauge("wigeonlift_members_alive", {},
              static_cast<double>(fleet.members().aliveVms(now).size()));
+  text.gauge("wigeonlift_repeat_share", {}, gateway.shares().OfRepeats);
+  text.gauge("wigeonlift_request_share", {}, gateway.shares().OfRequests);
   text.counter("wigeonlift_peer_bytes_sent_total", {}, static_cast<double>(fleet.bytesSent()));
   text.counter("wigeonlift_replica_pulls_total", {}, static_cast<double>(fleet.pulls()));
   text.counter("wigeonlift_log_lines_dropped_total", {},
--- a/Tests/Gateway/GatewayFixture.cpp
+++ b/Tests/Gateway/GatewayFixture.cpp
@@ -86,6 +86,7 @@
                 co_await session.run();
               }) {
   // The gateway is the only one.
+  Core.setShares({.OfRepeats = 1, .OfRequests = 1});
   Core.setShareAssignment({});
   EXPECT_TRUE(Callers.start({boost::asio::ip::address_v4::loopback(), 0}).ok());
 }
--- a/Tests/LibFleet/TestFleet.cpp
+++ b/Tests/LibFleet/TestFleet.cpp
@@ -66,12 +66,12 @@
 // 10 s, where 355 are allowed.
 TEST(FleetMembership, BudgetsCountUnreachableVms) {
   GossipNetwork net{12, 4};
-  EXPECT_LE(net.vm(1).budgetShare(net.Now), 1.0 / 12);
+  EXPECT_LE(net.vm(1).repeatShare(net.Now), 1.0 / 12);
   net.run(std::chrono::seconds{5});
   for (int n = 2; n <= 8; ++n)
     net.UnreachableVms.insert(ip(n));
   net.run(std::chrono::seconds{20});
-  EXPECT_DOUBLE_EQ(net.vm(1).budgetShare(net.Now), 1.0 / 12);
+  EXPECT_DOUBLE_EQ(net.vm(1).repeatShare(net.Now), 1.0 / 12);
 }
 
 // Guards against VMs with a large weight that get most callers but the same probe budget as VMs
@@ -81,8 +81,8 @@
   GossipNetwork net{4, 1};
   net.add(5, 0, 600);
   net.run(std::chrono::seconds{4});
-  EXPECT_DOUBLE_EQ(net.vm(5).budgetShare(net.Now), 0.6);
-  EXPECT_DOUBLE_EQ(net.vm(1).budgetShare(net.Now), 0.1);
+  EXPECT_DOUBLE_EQ(net.vm(5).repeatShare(net.Now), 0.6);
+  EXPECT_DOUBLE_EQ(net.vm(1).repeatShare(net.Now), 0.1);
 }
 
 // Guards against a data centre without a reader, and against a number of store calls that grows
@@ -224,7 +224,7 @@
   for (int n = 0; n < 4; ++n) {
     double sum = 0;
     for (const auto &[address, vm] : net.Vms)
-      sum += vm->budgetShare(net.Now);
+      sum += vm->repeatShare(net.Now);
     EXPECT_LE(sum, 1.01) << 8 + 4 * n << " s after the start";
     EXPECT_GE(sum, 0.9) << 8 + 4 * n << " s after the start";
     net.run(std::chrono::seconds{4});
--- a/Tests/LibFleet/TestShares.cpp
+++ b/Tests/LibFleet/TestShares.cpp
@@ -10,6 +10,7 @@
 
 /// Time in which VMs that reach each other share everything out.
 constexpr Duration SettleTime = 20s;
+constexpr double Tolerance = 0.01;
 /// Which shares parts of the fleet hold that don't know each other is random: four standard
 /// deviations of two parts together.
 constexpr double SharesTolerance = 0.06;
@@ -31,6 +32,13 @@
   return net;
 }
 
+double sumOfRepeatShares(const GossipNetwork &net) {
+  double sum = 0;
+  for (const auto &[address, vm] : net.Vms)
+    sum += vm->repeatShare(net.Now);
+  return sum;
+}
+
 /// Of one rate that is divided, how often the shares are held by all VMs together.
 double sumOfHeldShares(const GossipNetwork &net, SharedThing thing) {
   int sum = 0;
@@ -40,12 +48,14 @@
 }
 
 void expectAtMostOnce(const GossipNetwork &net, const std::string &when) {
+  EXPECT_LE(sumOfRepeatShares(net), 1 + Tolerance) << when;
   EXPECT_LE(sumOfHeldShares(net, SharedThing::RatesOfAllVms), 1 + SharesTolerance) << when;
   EXPECT_LE(sumOfHeldShares(net, SharedThing::NamedLimits), 1 + SharesTolerance) << when;
 }
 
 void expectInUse(const GossipNetwork &net, const std::string &when) {
   expectAtMostOnce(net, when);
+  EXPECT_GE(sumOfRepeatShares(net), 0.9) << when;
   EXPECT_GE(sumOfHeldShares(net, SharedThing::RatesOfAllVms), 0.9) << when;
   EXPECT_GE(sumOfHeldShares(net, SharedThing::NamedLimits), 0.9) << when;
 }
@@ -65,7 +75,7 @@
 } // namespace
 
 // Guards against VMs that return after a loss of power while their seeds stay off, and that each
-// take all rate limits because they have heard of nobody.
+// take all rate limits and the whole allowance of repeats because they have heard of nobody.
 TEST_P(Shares, SeedsThatStayAwayMakeNobodyAlone) {
   for (const Duration away : {5s, 70s, 300s}) {
     GossipNetwork net = fleetOf(GetParam());
@@ -132,7 +142,7 @@
   runAndCheck(net, 20s, "lost");
   net.add(last, last % GetParam().DataCentres);
   runAndCheck(net, 20s, "one is back");
-  EXPECT_GT(net.vm(last).shareAssignment(SharedThing::NamedLimits, net.Now).ownFraction(), 0);
+  EXPECT_GT(net.vm(last).repeatShare(net.Now), 0);
 }
 
 INSTANTIATE_TEST_SUITE_P(Sizes, Shares,
@@ -145,6 +155,7 @@
   for (const bool isSeed : {false, true}) {
     GossipNetwork net = fleetOf({.Vms = 1, .DataCentres = 1, .Seeds = isSeed ? 1 : 0});
     net.run(isSeed ? 13s : 4s);
+    EXPECT_DOUBLE_EQ(net.vm(1).repeatShare(net.Now), 1) << isSeed;
     EXPECT_DOUBLE_EQ(sumOfHeldShares(net, SharedThing::NamedLimits), 1) << isSeed;
     EXPECT_DOUBLE_EQ(sumOfHeldShares(net, SharedThing::RatesOfAllVms), 1) << isSeed;
   }
