LibDiscovery: A process that goes on writing is the running one

What callers saw: an upstream that had started again after its clock was set back got orders until its end, though it had reported that it drains; some may be lost with it.

Cause: each entry with a smaller `born` than the listed one counted as the late write of an earlier process.

Change: a process that writes again, a second or more after its first such entry and without one of the listed process in between, takes its place. An entry that says that the upstream drains counts until then, whichever process wrote it.

--- a/Libraries/LibDiscovery/UpstreamList.cpp
+++ b/Libraries/LibDiscovery/UpstreamList.cpp
@@ -16,6 +16,10 @@
 // seconds old, and what was lost is written again within seconds.
 constexpr Duration RemovedRetention = std::chrono::seconds{60};
 
+// Late entries of a process that has ended arrive together, those of a running one with each of its
+// heartbeats.
+constexpr Duration RunningProof = std::chrono::seconds{1};
+
 /// Whether an entry of a restored store was written after a known entry of the same id.
 bool wasWrittenSince(const UpstreamRecord &record, const UpstreamRecord &known) {
   if (record.isSameIncarnation(known))
@@ -25,7 +29,7 @@
 
 } // namespace
 
-bool UpstreamList::didWrite(UpstreamRecord record, TimePoint) {
+bool UpstreamList::didWrite(UpstreamRecord record, TimePoint now) {
   const auto it = Upstreams.find(record.Id);
   if (it == Upstreams.end()) {
     Upstreams.emplace(record.Id, std::move(record));
@@ -34,8 +38,9 @@
   UpstreamRecord previous = it->second;
   // An entry of an earlier process with the same id may arrive late. It must not replace the entry
   // of the newer process.
-  if (record.StartedAtMs < previous.StartedAtMs)
-    return false;
+  if (record.StartedAtMs < previous.StartedAtMs && !isRunning(record, now))
+    return drainIfEither(it->second, record);
+  EarlierStarts.erase(record.Id);
   PendingRemovals.erase(record.Id);
   // The latest write that is known counts, also if the store has lost it.
   if (record.isSameIncarnation(previous))
@@ -47,6 +52,19 @@
   return hasChanged;
 }
 
+bool UpstreamList::isRunning(const UpstreamRecord &record, TimePoint now) {
+  const auto [it, isNew] =
+      EarlierStarts.try_emplace(record.Id, EarlierStart{.First = record, .SeenAt = now});
+  if (!isNew && !it->second.First.isSameIncarnation(record))
+    it->second = {.First = record, .SeenAt = now};
+  return record.WriteCount > it->second.First.WriteCount && now - it->second.SeenAt >= RunningProof;
+}
+
+bool UpstreamList::drainIfEither(UpstreamRecord &known, const UpstreamRecord &record) {
+  // If the entry is late after all, the next one of the running process corrects this.
+  return record.IsDraining && !std::exchange(known.IsDraining, true);
+}
+
 bool UpstreamList::didRestore(UpstreamRecord record, TimePoint now) {
   const auto it = Upstreams.find(record.Id);
   if (it == Upstreams.end()) {
@@ -78,6 +96,7 @@
 void UpstreamList::erase(std::string_view id, TimePoint now) {
   std::erase_if(Removed,
                 [&](const auto &it) { return now - it.second.RemovedAt > RemovedRetention; });
+  EarlierStarts.erase(std::string{id});
   const auto it = Upstreams.find(id);
   Removed.insert_or_assign(it->first, RemovedUpstream{.Record = it->second, .RemovedAt = now});
   Upstreams.erase(it);
--- a/Libraries/LibDiscovery/UpstreamList.h
+++ b/Libraries/LibDiscovery/UpstreamList.h
@@ -85,7 +85,9 @@
   explicit UpstreamList(const RemovalBounds &bounds) : Bounds(bounds) {}
 
   /// An entry was written. Returns whether the list changed in anything but the remaining warm-up
-  /// time. An entry of an earlier process than the listed one is ignored.
+  /// time. A late entry of an earlier process than the listed one is ignored, unless it says that
+  /// the upstream drains. A process that goes on writing is the running one, also if it seems to
+  /// have started earlier, because the clock of its machine was set back.
   bool didWrite(UpstreamRecord record, TimePoint now);
   /// An entry is part of a copy of the store that was restored. Returns whether the list changed as
   /// for `didWrite`.
@@ -114,6 +116,18 @@
     TimePoint RemovedAt;
   };
 
+  /// A process that seems to have started before the one that is listed.
+  struct EarlierStart {
+    /// Its first entry since the listed process last wrote.
+    UpstreamRecord First;
+    TimePoint SeenAt;
+  };
+
+  /// Whether the process that wrote the entry runs, though it seems to have started earlier than
+  /// the one that is listed.
+  bool isRunning(const UpstreamRecord &record, TimePoint now);
+  /// Returns whether the known upstream became a draining one.
+  static bool drainIfEither(UpstreamRecord &known, const UpstreamRecord &record);
   /// Removes an upstream from the list and remembers its incarnation.
   void erase(std::string_view id, TimePoint now);
   TimePoint graceEnd(const EntryRemoval &removal, TimePoint now) const;
@@ -122,6 +136,8 @@
   std::map<std::string, UpstreamRecord, std::less<>> Upstreams;
   /// By id, the grace periods of upstreams whose entries were removed.
   std::map<std::string, PendingRemoval, std::less<>> PendingRemovals;
+  /// By id, entries of processes that seem to have started before the listed ones.
+  std::map<std::string, EarlierStart, std::less<>> EarlierStarts;
   /// By id, the incarnations that were removed within the retention time.
   std::map<std::string, RemovedUpstream, std::less<>> Removed;
 };
--- a/Tests/LibDiscovery/TestUpstreamList.cpp
+++ b/Tests/LibDiscovery/TestUpstreamList.cpp
@@ -126,6 +126,52 @@
   EXPECT_EQ(list.usable("rankview")[0].StartedAtMs, 20U);
 }
 
+/// An entry of a process that seems to have started before another one.
+UpstreamRecord earlier(std::uint64_t writeCount, bool isDraining = false) {
+  UpstreamRecord result = record("x", 10);
+  result.WriteCount = writeCount;
+  result.IsDraining = isDraining;
+  return result;
+}
+
+// Guards against a running upstream whose entries are ignored for good, because it started again
+// after its clock was set back: it got requests until its end although it reported that it drains.
+TEST(UpstreamList, AProcessThatGoesOnWritingIsTheRunningOne) {
+  using namespace std::chrono_literals;
+  UpstreamList list{Bounds};
+  list.didWrite(record("x", 20), Start);
+  EXPECT_FALSE(list.didWrite(earlier(1), Start));
+  EXPECT_TRUE(list.didWrite(earlier(2), Start + 1500ms));
+  EXPECT_EQ(list.usable("rankview")[0].StartedAtMs, 10U);
+  EXPECT_TRUE(list.didWrite(earlier(3, true), Start + 3s));
+  EXPECT_TRUE(list.usable("rankview").empty());
+}
+
+// Guards against two late entries of a process that has ended, which replace the running one, and
+// against a late one from before the running process wrote again.
+TEST(UpstreamList, LateEntriesAreNoSignOfARunningProcess) {
+  using namespace std::chrono_literals;
+  UpstreamList list{Bounds};
+  list.didWrite(record("x", 20), Start);
+  EXPECT_FALSE(list.didWrite(earlier(7), Start));
+  EXPECT_FALSE(list.didWrite(earlier(8), Start + 10ms));
+  EXPECT_FALSE(list.didWrite(earlier(8), Start + 20ms));
+  list.didWrite(record("x", 20), Start + 1s);
+  EXPECT_FALSE(list.didWrite(earlier(9), Start + 1500ms));
+  EXPECT_EQ(list.usable("rankview")[0].StartedAtMs, 20U);
+}
+
+// Guards against requests to an upstream that drains, in the time in which it isn't clear which
+// process runs, and against an upstream that stays out of use by a late entry.
+TEST(UpstreamList, DrainingCountsOfEitherProcess) {
+  UpstreamList list{Bounds};
+  list.didWrite(record("x", 20), Start);
+  EXPECT_TRUE(list.didWrite(earlier(1, true), Start));
+  EXPECT_TRUE(list.usable("rankview").empty());
+  EXPECT_TRUE(list.didWrite(record("x", 20), Start));
+  EXPECT_EQ(list.usable("rankview").size(), 1U);
+}
+
 // Guards against an upstream that stays in use for good, because a late entry of its earlier
 // process ended the grace period of its removal.
 TEST(UpstreamList, EarlierIncarnationsDoNotEndAGracePeriod) {
