LibBalance: Keep a time to stay away while an upstream isn't listed

What upstreams saw: they had told VMs to stay away for 20 s, and got requests of these again once an evacuation ended or their entry was back.

Cause: the time was kept under the upstream's index, which ends when it leaves the list.

Change: it is kept by the key of the incarnation, and taken over when the upstream is listed again.

Without the call on listing, both new tests fail.

--- a/Libraries/LibBalance/ServiceBalancer.cpp
+++ b/Libraries/LibBalance/ServiceBalancer.cpp
@@ -143,7 +143,7 @@
 bool ServiceBalancer::noticeReceived(UpstreamIndex upstream, std::uint64_t fleetKey,
                                      const UpstreamNotice &notice, TimePoint now) {
   if (notice.RetryAfter)
-    Limits.didAskToStayAway(upstream, *notice.RetryAfter, now);
+    Limits.didAskToStayAway(upstream, fleetKey, *notice.RetryAfter, now);
   if (notice.WarmupRemaining) {
     Limits.didReportWarmup(upstream, fleetKey, *notice.WarmupRemaining, now);
     updateWarmupEnd(upstream);
--- a/Libraries/LibBalance/UpstreamLimits.cpp
+++ b/Libraries/LibBalance/UpstreamLimits.cpp
@@ -206,11 +206,19 @@
   return Assignment.heldShares(fleetKey, SharesOfUnknownLimit) > 0;
 }
 
-void UpstreamLimits::didAskToStayAway(UpstreamIndex upstream, Duration duration, TimePoint now) {
+void UpstreamLimits::didAskToStayAway(UpstreamIndex upstream, std::uint64_t fleetKey,
+                                      Duration duration, TimePoint now) {
   // VMs that were rejected together must not return together.
   const Duration span = fromSeconds(toSeconds(duration) * (1 + ReturnJitter * Rng.unit()));
-  TimePoint &until = StayAwayUntil[upstream];
+  TimePoint &until = StayAwayUntilByKey[fleetKey];
   until = std::max(until, now + span);
+  StayAwayUntil[upstream] = until;
+}
+
+void UpstreamLimits::didList(UpstreamIndex upstream, std::uint64_t fleetKey, TimePoint now) {
+  const auto it = StayAwayUntilByKey.find(fleetKey);
+  if (it != StayAwayUntilByKey.end() && now < it->second)
+    StayAwayUntil[upstream] = it->second;
 }
 
 void UpstreamLimits::forget(UpstreamIndex upstream) {
@@ -221,7 +229,9 @@
 }
 
 void UpstreamLimits::expire(TimePoint now) {
-  std::erase_if(StayAwayUntil, [&](const auto &it) { return now >= it.second; });
+  const auto isOver = [&](const auto &it) { return now >= it.second; };
+  std::erase_if(StayAwayUntil, isOver);
+  std::erase_if(StayAwayUntilByKey, isOver);
   std::erase_if(Cold, [&](UpstreamIndex it) {
     const Warmup &warmup = Warmups.at(it);
     return now >= warmup.EndsAt + warmup.ReturnDelay;
--- a/Libraries/LibBalance/UpstreamLimits.h
+++ b/Libraries/LibBalance/UpstreamLimits.h
@@ -47,7 +47,11 @@
   bool didReport(UpstreamIndex upstream, std::uint64_t fleetKey, const RateLimitReport &report,
                  TimePoint now);
   /// The upstream wants nothing from this VM for so long. Doesn't shorten an earlier time.
-  void didAskToStayAway(UpstreamIndex upstream, Duration duration, TimePoint now);
+  void didAskToStayAway(UpstreamIndex upstream, std::uint64_t fleetKey, Duration duration,
+                        TimePoint now);
+  /// The upstream is listed. It may have been before, and have asked this VM to stay away.
+  void didList(UpstreamIndex upstream, std::uint64_t fleetKey, TimePoint now);
+  /// The upstream is no longer listed.
   void forget(UpstreamIndex upstream);
   /// Forgets times that have passed.
   void expire(TimePoint now);
@@ -154,6 +158,9 @@
 
   std::map<UpstreamIndex, Limit> Limits;
   std::map<UpstreamIndex, TimePoint> StayAwayUntil;
+  /// The same by fleet key, also of upstreams that are no longer listed: an evacuation that ends,
+  /// or an entry that was away for a moment, doesn't change what the upstream wants.
+  std::map<std::uint64_t, TimePoint> StayAwayUntilByKey;
   ShareAssignment Assignment;
   double WarmupRate = 0;
   int WarmupShares = 0;
--- a/Services/Gateway/ServiceTask.cpp
+++ b/Services/Gateway/ServiceTask.cpp
@@ -60,6 +60,7 @@
                         .Pool = std::make_shared<UpstreamPool>(Context.get_executor(), *endpoint,
                                                                ConnectionLimit)});
       ByIndex[known->Index] = known;
+      Balancer.upstreamListed(known->Index, known->FleetKey, now);
     }
     known->Record = record;
     if (isNew && record.Warmup > Duration::zero()) {
@@ -294,10 +295,13 @@
 }
 
 void ServiceTask::didNotice(const KnownUpstream &upstream, const UpstreamNotice &notice) {
-  // An answer may arrive when the upstream has left already.
-  if (!ByIndex.contains(upstream.Index))
-    return;
   const TimePoint now = bootTimeNow();
+  // An answer may arrive when the upstream has left already. It may be listed again.
+  if (!ByIndex.contains(upstream.Index)) {
+    Balancer.noticeReceived(upstream.Index, upstream.FleetKey,
+                            {.RateLimit = {}, .RetryAfter = notice.RetryAfter}, now);
+    return;
+  }
   const bool hasChanged = Balancer.noticeReceived(upstream.Index, upstream.FleetKey, notice, now);
   const bool isUnreadable = notice.RateLimit.Kind == RateLimitReport::Content::Unusable;
   const bool isNews = isUnreadable ? UnreadableLimits.insert(upstream.Index).second
--- a/Tests/Gateway/GatewayFixture.cpp
+++ b/Tests/Gateway/GatewayFixture.cpp
@@ -39,11 +39,12 @@
   return settings;
 }
 
-std::string entryOf(const PlatformUpstream &upstream, std::string_view warmupRemaining) {
+std::string entryOf(const PlatformUpstream &upstream, std::string_view warmupRemaining,
+                    int born = 1) {
   return fmt::format(
       R"({{"service":"s","address":"{}","zone":"{}","version":"v1","capacity-slots":3,)"
-      R"("state":"ready","warmup-remaining":"{}","sequence":1,"born":1}})",
-      upstream.address(), upstream.DataCentre, warmupRemaining);
+      R"("state":"ready","warmup-remaining":"{}","sequence":1,"born":{}}})",
+      upstream.address(), upstream.DataCentre, warmupRemaining, born);
 }
 
 std::string fieldOf(const std::string &request, std::string_view name) {
@@ -130,9 +131,16 @@
   Core.didLearn(std::span{&item, 1}, "test", {});
 }
 
-void GatewayFixture::rewrite(const PlatformUpstream &upstream, std::string_view warmupRemaining) {
+void GatewayFixture::removeEntry(const PlatformUpstream &upstream) {
+  const StoreItem item{
+      .Key = "servers/" + upstream.id(), .Revision = ++LastRevision, .IsRemoved = true};
+  Core.didLearn(std::span{&item, 1}, "test", {});
+}
+
+void GatewayFixture::rewrite(const PlatformUpstream &upstream, std::string_view warmupRemaining,
+                             int born) {
   const StoreItem item{.Key = "servers/" + upstream.id(),
-                       .Value = entryOf(upstream, warmupRemaining),
+                       .Value = entryOf(upstream, warmupRemaining, born),
                        .Revision = ++LastRevision};
   Core.didLearn(std::span{&item, 1}, "test", {});
 }
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -62,8 +62,10 @@
   void learnEvacuations(const std::map<std::string, bool> &isOrdered);
   /// Limits the requests to cold upstreams of a configured gateway that is the only one.
   void limitWarmups(double requestsPerSecond);
-  /// The entry of a configured upstream is written with this remaining warm-up.
-  void rewrite(const PlatformUpstream &upstream, std::string_view warmupRemaining);
+  /// The entry of a configured upstream is written with this remaining warm-up and time of start.
+  void rewrite(const PlatformUpstream &upstream, std::string_view warmupRemaining, int born = 1);
+  /// The entry of a configured upstream is removed.
+  void removeEntry(const PlatformUpstream &upstream);
   std::shared_ptr<RawCaller> connect();
   /// Sends bytes on a connection of its own and waits for the whole answer or the end.
   std::shared_ptr<RawCaller> ask(const std::string &request);
--- a/Tests/Gateway/TestUpstreamNotices.cpp
+++ b/Tests/Gateway/TestUpstreamNotices.cpp
@@ -121,4 +121,40 @@
   EXPECT_EQ(upstream.requests().size(), 1U);
 }
 
+/// An upstream's statement that it wants nothing from this VM for some time.
+FakeReply staysAway(const std::string &attemptId) {
+  return {fmt::format("HTTP/1.1 503 X\r\nContent-Length: 0\r\nRetry-After: 20\r\n{}: {}\r\n"
+                      "{}: full\r\n\r\n",
+                      platform::AttemptIdHeader, attemptId, platform::NotExecutedHeader)};
+}
+
+// Guards against requests to an upstream that has told this VM to stay away, once an evacuation of
+// its data centre ends.
+TEST_F(GatewayFixture, AnEvacuationDoesNotEndATimeToStayAway) {
+  PlatformUpstream upstream{Context, "i-1", staysAway};
+  configure({&upstream});
+  EXPECT_EQ(statusOf(*ask(callerRequest("GET", "/look/1", "attempt-1"))), 503);
+  learnEvacuations({{"a", true}});
+  learnEvacuations({{"a", false}});
+  for (int n = 0; n < 4; ++n)
+    EXPECT_EQ(statusOf(*ask(callerRequest("GET", "/look/1", fmt::format("later-{}", n)))), 503);
+  EXPECT_EQ(upstream.requests().size(), 1U);
+}
+
+// Guards against the same once the upstream's entry is back that was away for a moment, and against
+// an upstream that gets nothing although it has started again and knows nothing of before.
+TEST_F(GatewayFixture, AnEntryThatWasAwayDoesNotEndATimeToStayAway) {
+  PlatformUpstream upstream{Context, "i-1", staysAway};
+  configure({&upstream});
+  EXPECT_EQ(statusOf(*ask(callerRequest("GET", "/look/1", "attempt-1"))), 503);
+  removeEntry(upstream);
+  rewrite(upstream, "0ms");
+  for (int n = 0; n < 4; ++n)
+    EXPECT_EQ(statusOf(*ask(callerRequest("GET", "/look/1", fmt::format("later-{}", n)))), 503);
+  EXPECT_EQ(upstream.requests().size(), 1U);
+  rewrite(upstream, "0ms", 2);
+  ask(callerRequest("GET", "/look/1", "after its start"));
+  EXPECT_EQ(upstream.requests().size(), 2U);
+}
+
 } // namespace wigeonlift
