--- a/Libraries/LibBalance/BalanceTypes.h
+++ b/Libraries/LibBalance/BalanceTypes.h
@@ -93,8 +93,8 @@
 
 /// Classifies the response of an upstream to an attempt.
 enum class ResponseKind : std::uint8_t {
-  Success,         ///< A complete response from the upstream with a success status.
-  UpstreamFailure, ///< A complete response with another status; the upstream ran the request.
+  Success,           ///< A complete response from the upstream with a success status.
+  UpstreamFailure,   ///< A complete response with another status; the upstream ran the request.
   MisleadingFailure, ///< The same, but callers take its status for a promise that the request did
                      ///< not run. Never sent to the caller.
   NotRun,            ///< The upstream states that it did not run the request.
