LibFleet: Count VMs as silent before any of them loses its shares

Cause: a VM counted as silent after 20 s, but shares of named limits move after 10 s, so in between a VM that was alone in its part of a divided data centre took those of the others.

Change: silent after 8 s. A state that waited for a frozen process no longer undoes that the frozen time doesn't count (test: MessagesThatWaitedDoNotEndShares). ShareHolders::assignment is divided into short functions.

--- a/Libraries/LibFleet/FleetMembershipRoles.cpp
+++ b/Libraries/LibFleet/FleetMembershipRoles.cpp
@@ -142,7 +142,10 @@
 
 double FleetMembership::requestShare(TimePoint now) const {
   const double share = repeatShare(now);
-  return share > 0 ? share : 1 / AssumedFleetSize;
+  if (share > 0)
+    return share;
+  const double weight = std::max(Holders.fleetWeight(Self, now), AssumedFleetSize * Self.Weight);
+  return Self.Weight / weight;
 }
 
 bool FleetMembership::isNamedToCallers(const Peer &peer, TimePoint now) {
--- a/Libraries/LibFleet/ShareHolders.cpp
+++ b/Libraries/LibFleet/ShareHolders.cpp
@@ -14,9 +14,9 @@
 constexpr Duration HolderRetention = std::chrono::seconds{60};
 // The same for shares that a partitioned VM may exceed; longer than most faults of links.
 constexpr Duration ShortRetention = std::chrono::seconds{10};
-// A VM that isn't heard of for so long is silent. Much shorter than the retention, so that all VMs
-// of a part that was cut off count as silent before the first of them loses its shares.
-constexpr Duration SilentAfter = std::chrono::seconds{20};
+// A VM that isn't heard of for so long is silent. Shorter than the retentions, so that all VMs of a
+// part that was cut off count as silent before the first of them loses its shares.
+constexpr Duration SilentAfter = std::chrono::seconds{8};
 // A VM that receives nothing for this long is isolated. Otherwise it receives several messages a
 // second.
 constexpr Duration IsolatedAfter = std::chrono::seconds{2};
@@ -73,7 +73,11 @@
 }
 
 void ShareHolders::didHear(const FleetVm &vm, TimePoint sentAt, TimePoint now) {
-  Holders.insert_or_assign(vm.Ip, Holder{.Vm = vm, .HeardAt = sentAt});
+  const auto [it, isNew] = Holders.try_emplace(vm.Ip, Holder{.Vm = vm, .HeardAt = sentAt});
+  // A state that waited for this process while it was frozen doesn't undo that the time didn't
+  // count.
+  if (!isNew)
+    it->second = {.Vm = vm, .HeardAt = std::max(it->second.HeardAt, sentAt)};
   didHearOf(vm.Ip, now);
 }
 
@@ -152,47 +156,76 @@
   return weight;
 }
 
-ShareAssignment ShareHolders::assignment(const FleetVm &self, SharedThing thing,
-                                         TimePoint now) const {
-  const bool isStarting = now - StartedAt < JoinTime;
-  if (!isStarting && isAlone(now))
-    return {};
-  const auto knownSeeds = static_cast<std::size_t>(
-      std::ranges::count_if(CountsFrom, [&](const auto &it) { return it.second <= now; }));
-  const bool knowsNoSeed = knownSeeds == 0 && !Seeds.empty();
-  if (isStarting || !hasJoined() || knowsNoSeed)
-    return ShareAssignment::withoutShares();
-  const ShareAssignment::Vm own{.Address = self.Ip, .Weight = static_cast<double>(self.Weight)};
-  std::vector<ShareAssignment::Vm> localVms{own};
-  std::map<std::string_view, DataCentre> dataCentres;
-  dataCentres[self.DataCentre].KnownWeight = self.Weight;
-  for (const Holder *holder : holders(self, thing, now)) {
-    const FleetVm &vm = holder->Vm;
-    DataCentre &it = dataCentres[vm.DataCentre];
-    it.KnownWeight += vm.Weight;
-    it.ToldWeight = std::max<double>(it.ToldWeight, vm.DataCentreWeight);
-    if (vm.DataCentre == self.DataCentre)
-      localVms.push_back({.Address = vm.Ip, .Weight = static_cast<double>(vm.Weight)});
+ShareHolders::DataCentres ShareHolders::dataCentresOf(const FleetVm &self,
+                                                      const std::vector<const Holder *> &holders) {
+  DataCentres result;
+  result[self.DataCentre].KnownWeight = self.Weight;
+  for (const Holder *holder : holders) {
+    DataCentre &it = result[holder->Vm.DataCentre];
+    it.KnownWeight += holder->Vm.Weight;
+    it.ToldWeight = std::max<double>(it.ToldWeight, holder->Vm.DataCentreWeight);
   }
+  return result;
+}
+
+double ShareHolders::sumOf(const DataCentres &dataCentres) {
+  double sum = 0;
+  for (const auto &[name, it] : dataCentres)
+    sum += it.weight();
+  return sum;
+}
+
+double ShareHolders::fleetWeight(const FleetVm &self, TimePoint now) const {
+  return sumOf(dataCentresOf(self, holders(self, SharedThing::RatesOfAllVms, now)));
+}
+
+std::size_t ShareHolders::countedSeeds(TimePoint now) const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(CountsFrom, [&](const auto &it) { return it.second <= now; }));
+}
+
+bool ShareHolders::mayHold(TimePoint now) const {
+  const bool isStarting = now - StartedAt < JoinTime;
+  const bool knowsSomeSeed = Seeds.empty() || countedSeeds(now) > 0;
+  return !isStarting && (isAlone(now) || (hasJoined() && knowsSomeSeed));
+}
+
+std::vector<ShareAssignment::Vm> ShareHolders::localVms(const FleetVm &self,
+                                                        const std::vector<const Holder *> &holders,
+                                                        const DataCentre &local) {
+  const double ownWeight = self.Weight;
+  std::vector<ShareAssignment::Vm> result{{.Address = self.Ip, .Weight = ownWeight}};
+  for (const Holder *it : holders)
+    if (it->Vm.DataCentre == self.DataCentre)
+      result.push_back({.Address = it->Vm.Ip, .Weight = static_cast<double>(it->Vm.Weight)});
   // The other VMs of the data centre know some that this one doesn't. No VM has the address of a
   // stand-in.
-  const DataCentre &local = dataCentres[self.DataCentre];
   double missing = local.ToldWeight - local.KnownWeight;
-  for (std::uint32_t n = 1; missing > 0 && n <= MaxStandIns; ++n) {
-    localVms.push_back({.Address = n, .Weight = std::min(missing, own.Weight)});
-    missing -= own.Weight;
-  }
+  for (std::uint32_t n = 1; missing > 0 && n <= MaxStandIns; ++n, missing -= ownWeight)
+    result.push_back({.Address = n, .Weight = std::min(missing, ownWeight)});
+  return result;
+}
+
+ShareAssignment ShareHolders::assignment(const FleetVm &self, SharedThing thing,
+                                         TimePoint now) const {
+  if (!mayHold(now))
+    return ShareAssignment::withoutShares();
+  if (isAlone(now))
+    return {};
+  const std::vector<const Holder *> known = holders(self, thing, now);
+  const DataCentres dataCentres = dataCentresOf(self, known);
   std::vector<ShareAssignment::DataCentre> weights;
-  double all = 0;
-  for (const auto &[name, it] : dataCentres) {
+  weights.reserve(dataCentres.size() + 1);
+  for (const auto &[name, it] : dataCentres)
     weights.push_back({.Name = std::string{name}, .Weight = it.weight()});
-    all += it.weight();
-  }
-  if (const std::size_t unknown = Seeds.size() - knownSeeds; unknown > 0)
+  if (const std::size_t counted = countedSeeds(now); counted < Seeds.size()) {
+    const double unknownPart =
+        static_cast<double>(Seeds.size() - counted) / static_cast<double>(counted);
     weights.push_back(
-        {.Name = std::string{UnknownDataCentre},
-         .Weight = all * static_cast<double>(unknown) / static_cast<double>(knownSeeds)});
-  return {own, self.DataCentre, std::move(weights), std::move(localVms)};
+        {.Name = std::string{UnknownDataCentre}, .Weight = unknownPart * sumOf(dataCentres)});
+  }
+  std::vector<ShareAssignment::Vm> vms = localVms(self, known, dataCentres.at(self.DataCentre));
+  return {vms.front(), self.DataCentre, std::move(weights), std::move(vms)};
 }
 
 } // namespace wigeonlift
--- a/Libraries/LibFleet/ShareHolders.h
+++ b/Libraries/LibFleet/ShareHolders.h
@@ -53,6 +53,8 @@
   /// The seeds that this VM, or one that it has heard, has heard of since its start.
   std::vector<VmAddress> knownSeeds() const;
   ShareAssignment assignment(const FleetVm &self, SharedThing thing, TimePoint now) const;
+  /// Sum of the weights of all VMs as far as they are known, whether or not this VM holds shares.
+  double fleetWeight(const FleetVm &self, TimePoint now) const;
   /// Sum of the weights of this data centre's VMs that hold shares, including this one.
   std::uint32_t localWeight(const FleetVm &self, TimePoint now) const;
 
@@ -69,6 +71,7 @@
 
     double weight() const;
   };
+  using DataCentres = std::map<std::string_view, DataCentre>;
 
   void didHearOf(VmAddress vm, TimePoint now);
   /// The present time, or when the last message arrived if none has arrived for long. The silence
@@ -82,8 +85,18 @@
   std::set<std::string_view> heardDataCentres(TimePoint now) const;
   /// Whether so much of this data centre is silent that it may be running in another part.
   bool mayBeDivided(const FleetVm &self, TimePoint now) const;
-  /// The VMs that hold shares.
+  /// Seeds whose parts of the fleet are known.
+  std::size_t countedSeeds(TimePoint now) const;
+  /// Whether this VM knows enough of the others to hold shares.
+  bool mayHold(TimePoint now) const;
+  /// The VMs that hold shares, other than this one.
   std::vector<const Holder *> holders(const FleetVm &self, SharedThing thing, TimePoint now) const;
+  static DataCentres dataCentresOf(const FleetVm &self, const std::vector<const Holder *> &holders);
+  static double sumOf(const DataCentres &dataCentres);
+  /// This VM, the holders in its data centre, and stand-ins for those that only others know.
+  static std::vector<ShareAssignment::Vm> localVms(const FleetVm &self,
+                                                   const std::vector<const Holder *> &holders,
+                                                   const DataCentre &local);
 
   VmAddress SelfIp;
   std::set<VmAddress> Seeds;
--- a/Tests/LibFleet/TestShareHolders.cpp
+++ b/Tests/LibFleet/TestShareHolders.cpp
@@ -141,3 +141,19 @@
   EXPECT_GT(it.held(SharedThing::NamedLimits), before);
   EXPECT_EQ(it.held(), before);
 }
+
+// Guards against a VM that was frozen for long, finds messages that waited, and takes the shares of
+// those whose messages it reads last.
+TEST(ShareHolders, MessagesThatWaitedDoNotEndShares) {
+  OneVm it;
+  const int before = it.held();
+  const TimePoint frozenAt = it.Now;
+  it.Now += 90s;
+  it.Holders.didReceive(it.Now);
+  for (const VmAddress waiting : {2U, 3U, 4U})
+    it.Holders.didHear(vm(waiting), frozenAt, it.Now);
+  it.Holders.didHear(vm(2), it.Now, it.Now);
+  it.Holders.didHear(vm(3), it.Now, it.Now);
+  EXPECT_EQ(it.held(), before);
+  EXPECT_EQ(it.held(SharedThing::NamedLimits), before);
+}
--- a/Tests/LibFleet/TestShares.cpp
+++ b/Tests/LibFleet/TestShares.cpp
@@ -149,6 +149,18 @@
                          testing::Values(Fleet{9, 3, 3}, Fleet{16, 2, 3}, Fleet{12, 4, 2},
                                          Fleet{40, 3, 3}, Fleet{8, 1, 1}));
 
+// Guards against VMs that all work with most upstreams, and ask all of them for their load, while
+// they don't know the others.
+TEST(SharesOfOneVm, OfRequestsAreEstimatedByThoseThatAreKnown) {
+  GossipNetwork net = fleetOf({.Vms = 472, .DataCentres = 6, .Seeds = 3});
+  net.run(2s);
+  for (const auto &[address, vm] : net.Vms) {
+    EXPECT_EQ(vm->repeatShare(net.Now), 0);
+    EXPECT_GT(vm->requestShare(net.Now), 0);
+    EXPECT_LT(vm->requestShare(net.Now), 1.0 / 70);
+  }
+}
+
 // Guards against a single VM that serves nothing that is shared because it waits for others: one
 // without seeds, and one that is its own only seed.
 TEST(SharesOfOneVm, AreEverything) {
