LibFleet: Don't use a vector beside the move of it

A braced list is evaluated from left to right, so the result was right; a named copy says so. No change of behaviour.

--- a/Libraries/LibFleet/ShareHolders.cpp
+++ b/Libraries/LibFleet/ShareHolders.cpp
@@ -225,7 +225,8 @@
         {.Name = std::string{UnknownDataCentre}, .Weight = unknownPart * sumOf(dataCentres)});
   }
   std::vector<ShareAssignment::Vm> vms = localVms(self, known, dataCentres.at(self.DataCentre));
-  return {vms.front(), self.DataCentre, std::move(weights), std::move(vms)};
+  const ShareAssignment::Vm own = vms.front();
+  return {own, self.DataCentre, std::move(weights), std::move(vms)};
 }
 
 } // namespace wigeonlift
