--- a/Libraries/LibFleet/ShareHolders.h
+++ b/Libraries/LibFleet/ShareHolders.h
@@ -28,10 +28,8 @@
 ///
 /// - A VM whose settings name no others is alone and holds everything.
 /// - Any other VM holds nothing until it has heard of another one and had time to hear of the rest.
-/// - Each seed that the settings name stands for an equal part of the fleet. The parts of seeds
-/// that
-///   nobody has heard of are used by nobody: another part of the fleet may have started beside
-///   them.
+/// - Each seed that the settings name stands for an equal part of the fleet. Nobody uses the parts
+///   of seeds that nobody has heard of: another part of the fleet may have started beside them.
 /// - A VM that hears nothing keeps what it has, however long that lasts.
 /// - Silent VMs lose their shares after a time that depends on what is shared, unless they may be
 ///   running in another part of a partitioned fleet: if a whole data centre is silent, or more than
