Gateway: What an answer says counts for its upstream, listed again or not

Found in reading again: an answer that asks a VM to stay away could arrive when its upstream had left the list and was listed again, under another index; the upstream then got requests in the time for which it wanted none. An answer that arrived while it wasn't listed left an entry under an index that nothing uses.

Change: the notice goes to the listed upstream of the same incarnation; if there is none, the time is kept by the key alone. The comment of upstreamLeft stands at its function again.

Evidence: AnAnswerOfBeforeAnEvacuationCounts, and all tests of the gateway.

--- a/Libraries/LibBalance/ServiceBalancer.cpp
+++ b/Libraries/LibBalance/ServiceBalancer.cpp
@@ -142,8 +142,10 @@
 
 bool ServiceBalancer::noticeReceived(UpstreamIndex upstream, std::uint64_t fleetKey,
                                      const UpstreamNotice &notice, TimePoint now) {
-  if (notice.RetryAfter)
-    Limits.didAskToStayAway(upstream, fleetKey, *notice.RetryAfter, now);
+  if (notice.RetryAfter) {
+    Limits.didAskToStayAway(fleetKey, *notice.RetryAfter, now);
+    Limits.didList(upstream, fleetKey, now);
+  }
   if (notice.WarmupRemaining) {
     Limits.didReportWarmup(upstream, fleetKey, *notice.WarmupRemaining, now);
     updateWarmupEnd(upstream);
--- a/Libraries/LibBalance/ServiceBalancer.h
+++ b/Libraries/LibBalance/ServiceBalancer.h
@@ -139,13 +139,16 @@
   /// of the upstream changed.
   bool noticeReceived(UpstreamIndex upstream, std::uint64_t fleetKey, const UpstreamNotice &notice,
                       TimePoint now);
-  /// The upstream has left. What its responses said is forgotten, apart from how long it wants
-  /// nothing from this VM, as it may be listed again; `setUpstreams` only keeps
-  /// requests from it.
+  /// An upstream that isn't listed wants nothing from this VM for so long. It may be listed again.
+  void didAskToStayAway(std::uint64_t fleetKey, Duration duration, TimePoint now) {
+    Limits.didAskToStayAway(fleetKey, duration, now);
+  }
   /// An upstream is listed that wasn't a moment ago. Called before it is passed to `setUpstreams`.
   void upstreamListed(UpstreamIndex upstream, std::uint64_t fleetKey, TimePoint now) {
     Limits.didList(upstream, fleetKey, now);
   }
+  /// The upstream has left. What its responses said is forgotten, apart from how long it wants
+  /// nothing from this VM, as it may be listed again; `setUpstreams` only keeps requests from it.
   void upstreamLeft(UpstreamIndex upstream) { Limits.forget(upstream); }
   /// Another VM said whether requests of this service lack room there.
   void didHearShortage(std::uint32_t vm, const std::optional<Shortage> &shortage, TimePoint now);
--- a/Libraries/LibBalance/UpstreamLimits.cpp
+++ b/Libraries/LibBalance/UpstreamLimits.cpp
@@ -206,13 +206,11 @@
   return Assignment.heldShares(fleetKey, SharesOfUnknownLimit) > 0;
 }
 
-void UpstreamLimits::didAskToStayAway(UpstreamIndex upstream, std::uint64_t fleetKey,
-                                      Duration duration, TimePoint now) {
+void UpstreamLimits::didAskToStayAway(std::uint64_t fleetKey, Duration duration, TimePoint now) {
   // VMs that were rejected together must not return together.
   const Duration span = fromSeconds(toSeconds(duration) * (1 + ReturnJitter * Rng.unit()));
   TimePoint &until = StayAwayUntilByKey[fleetKey];
   until = std::max(until, now + span);
-  StayAwayUntil[upstream] = until;
 }
 
 void UpstreamLimits::didList(UpstreamIndex upstream, std::uint64_t fleetKey, TimePoint now) {
--- a/Libraries/LibBalance/UpstreamLimits.h
+++ b/Libraries/LibBalance/UpstreamLimits.h
@@ -46,10 +46,10 @@
   /// changed.
   bool didReport(UpstreamIndex upstream, std::uint64_t fleetKey, const RateLimitReport &report,
                  TimePoint now);
-  /// The upstream wants nothing from this VM for so long. Doesn't shorten an earlier time.
-  void didAskToStayAway(UpstreamIndex upstream, std::uint64_t fleetKey, Duration duration,
-                        TimePoint now);
-  /// The upstream is listed. It may have been before, and have asked this VM to stay away.
+  /// The upstream wants nothing from this VM for so long, whether or not it is listed. Doesn't
+  /// shorten an earlier time.
+  void didAskToStayAway(std::uint64_t fleetKey, Duration duration, TimePoint now);
+  /// The upstream is listed and may have asked this VM to stay away.
   void didList(UpstreamIndex upstream, std::uint64_t fleetKey, TimePoint now);
   /// The upstream is no longer listed.
   void forget(UpstreamIndex upstream);
--- a/Services/Gateway/ServiceTask.cpp
+++ b/Services/Gateway/ServiceTask.cpp
@@ -296,10 +296,13 @@
 
 void ServiceTask::didNotice(const KnownUpstream &upstream, const UpstreamNotice &notice) {
   const TimePoint now = bootTimeNow();
-  // An answer may arrive when the upstream has left already. It may be listed again.
+  // An answer may arrive when the upstream has left already, or is listed again.
   if (!ByIndex.contains(upstream.Index)) {
-    Balancer.noticeReceived(upstream.Index, upstream.FleetKey,
-                            {.RateLimit = {}, .RetryAfter = notice.RetryAfter}, now);
+    const auto listed = Upstreams.find(upstream.Record.Id);
+    if (listed != Upstreams.end() && listed->second->FleetKey == upstream.FleetKey)
+      return didNotice(*listed->second, notice);
+    if (notice.RetryAfter)
+      Balancer.didAskToStayAway(upstream.FleetKey, *notice.RetryAfter, now);
     return;
   }
   const bool hasChanged = Balancer.noticeReceived(upstream.Index, upstream.FleetKey, notice, now);
--- a/Tests/Gateway/TestUpstreamNotices.cpp
+++ b/Tests/Gateway/TestUpstreamNotices.cpp
@@ -141,6 +141,32 @@
   EXPECT_EQ(upstream.requests().size(), 1U);
 }
 
+// Guards against a time to stay away that is lost because the answer with it arrives while the
+// upstream isn't listed, or once it is listed again.
+TEST_F(GatewayFixture, AnAnswerOfBeforeAnEvacuationCounts) {
+  for (const std::string id : {"i-1", "i-2"}) {
+    const bool isTakenBackBefore = id == "i-2";
+    PlatformUpstream upstream{Context, id, [](const std::string &attemptId) -> FakeReply {
+                                return {.Bytes = staysAway(attemptId).Bytes,
+                                        .Delay = std::chrono::milliseconds{200}};
+                              }};
+    configure({&upstream});
+    const auto caller = connect();
+    caller->send(callerRequest("GET", "/look/1", "attempt-1"));
+    runUntil([&] { return upstream.requests().size() == 1; });
+    learnEvacuations({{"a", true}});
+    if (isTakenBackBefore)
+      learnEvacuations({{"a", false}});
+    runUntil([&] { return caller->hasAnswer(); });
+    if (!isTakenBackBefore)
+      learnEvacuations({{"a", false}});
+    for (int n = 0; n < 4; ++n)
+      EXPECT_EQ(statusOf(*ask(callerRequest("GET", "/look/1", fmt::format("later-{}", n)))), 503);
+    EXPECT_EQ(upstream.requests().size(), 1U) << isTakenBackBefore;
+    removeEntry(upstream);
+  }
+}
+
 // Guards against the same once the upstream's entry is back that was away for a moment, and against
 // an upstream that gets nothing although it has started again and knows nothing of before.
 TEST_F(GatewayFixture, AnEntryThatWasAwayDoesNotEndATimeToStayAway) {
