--- a/review/11/run.sh
+++ /dev/null
@@ -1,5 +0,0 @@
-#!/usr/bin/env bash
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: without the disruption.
-set -u
-cd "$(dirname "$0")" || exit 2
-exec python3 case.py
