--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -6,7 +6,7 @@
 python3 - <<'P'
 import ast, glob, sys
 assert sys.version_info >= (3, 11), "Python 3.11 or later is needed"
-for name in ["Meta/soak/store.py", "Meta/soak/wire.py", *glob.glob("review/common-3/*.py"), *glob.glob("review/1[1-5]/*.py")]:
+for name in ["Meta/soak/store.py", "Meta/soak/wire.py", *glob.glob("review/common-3/*.py"), *glob.glob("review/standins/*.py"), *glob.glob("review/1[1-5]/*.py")]:
     with open(name, encoding="utf-8") as file:
         ast.parse(file.read(), name)
 P
