Gateway: What others write into the store doesn't set a VM's memory

Cause: others' writes set the memory on each way by which they come. An entry with all fields of an upstream was kept whole, whatever else it had and whatever its service. An answer of the store was held as text, as parsed JSON and as items; another VM's copy compressed, decompressed, parsed and as items, up to three at a time; a change was copied for each VM that was told of it. Keys that nobody reads were kept. Nothing bounded numbers: of entries, of remembered removals, of pages.

Change: answers and copies are parsed as they arrive, and of an entry only the fields that are read are kept. Upstreams of services that no configuration named share 2 MiB; the services with the most bytes give way. When one is named, its upstreams are used at once; if some gave way, a complete copy is read. Removals and the changes of a watch are bounded. The pages of a read only have to advance, as 1,000 was a bound that others' entries reached.

Tests that changed: the tests of StoreClient used keys that nobody reads (`a`, `b`), which are no longer kept; they use keys that are read now and ask for the same.

--- a/Libraries/LibDiscovery/StoreSyncPolicy.cpp
+++ b/Libraries/LibDiscovery/StoreSyncPolicy.cpp
@@ -26,7 +26,7 @@
 
 StoreSyncStep StoreSyncPolicy::nextStep(StoreSyncNeed need, TimePoint now) {
   LastNeed = need;
-  if (MustReadAll)
+  if (MustReadAll || need == StoreSyncNeed::ReplicaLacking)
     return LastStep = StoreSyncStep::ReadAll;
   if (need == StoreSyncNeed::ReplicaExpired)
     return LastStep = StoreSyncStep::CheckRevision;
--- a/Libraries/LibDiscovery/StoreSyncPolicy.h
+++ b/Libraries/LibDiscovery/StoreSyncPolicy.h
@@ -19,6 +19,7 @@
 enum class StoreSyncNeed : std::uint8_t {
   None,           ///< The reader sends the changes.
   ReplicaExpired, ///< The replica is too old to wait for other VMs.
+  ReplicaLacking, ///< Upstreams in use may be missing; no other VM can tell.
   IsReader,       ///< The VM watches the store for its data centre.
 };
 
--- a/Libraries/LibFleet/FleetCodec.cpp
+++ b/Libraries/LibFleet/FleetCodec.cpp
@@ -116,6 +116,8 @@
   out.set_after(deltaAfter.Era == delta.AsOf.Era ? deltaAfter.Number : 0);
   out.set_as_of(delta.AsOf.Number);
   out.set_era(delta.AsOf.Era);
+  out.set_left_out(delta.HasLeftOut);
+  out.set_lacking(delta.IsLacking);
   for (const StoreItem &it : delta.Items) {
     auto &item = *out.add_items();
     item.set_key(it.Key);
@@ -126,7 +128,11 @@
 }
 
 StoreDelta decode(const fleetwire::Delta &in) {
-  StoreDelta delta{.Items = {}, .IsComplete = in.complete(), .AsOf = {in.era(), in.as_of()}};
+  StoreDelta delta{.Items = {},
+                   .IsComplete = in.complete(),
+                   .AsOf = {in.era(), in.as_of()},
+                   .HasLeftOut = in.left_out(),
+                   .IsLacking = in.lacking()};
   for (const auto &it : in.items())
     delta.Items.push_back({.Key = it.key(),
                            .Value = it.value(),
--- a/Libraries/LibFleet/FleetMembership.cpp
+++ b/Libraries/LibFleet/FleetMembership.cpp
@@ -230,8 +230,11 @@
     receivers.resize(std::min(receivers.size(), FewLocalReceivers));
   }
   FleetMessage out = messageWithSelf(now);
-  out.Delta = delta;
-  out.DeltaAfter = deltaAfter;
+  // Each message would hold its own copy of changes that it can't carry.
+  if (mayFitDatagram(delta)) {
+    out.Delta = delta;
+    out.DeltaAfter = deltaAfter;
+  }
   return addressTo(receivers, out, now);
 }
 
--- a/Libraries/LibFleet/FleetMessage.h
+++ b/Libraries/LibFleet/FleetMessage.h
@@ -5,6 +5,7 @@
 #include <LibFleet/PeerClocks.h>
 #include <LibFleet/VmAddress.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -12,6 +13,19 @@
 
 namespace wigeonlift {
 
+/// Largest datagram between VMs, in bytes. Larger changes of the store are read over a connection
+/// by those who need them.
+inline constexpr std::size_t MaxDatagramBytes = 1300;
+
+/// Whether the changes may fit a datagram.
+inline bool mayFitDatagram(const StoreDelta &delta) {
+  std::size_t bytes = 0;
+  for (const StoreItem &it : delta.Items)
+    if ((bytes += it.Key.size() + it.Value.size()) > MaxDatagramBytes)
+      return false;
+  return true;
+}
+
 /// The state of a VM. The VM itself sets it, and other VMs forward it.
 struct FleetVm {
   VmAddress Ip = 0;
--- a/Libraries/LibFleet/FleetReplica.cpp
+++ b/Libraries/LibFleet/FleetReplica.cpp
@@ -15,6 +15,8 @@
 // it does if it knows of a later one.
 constexpr Duration NewsTime = std::chrono::seconds{1};
 constexpr Duration MaxNewsTime = std::chrono::seconds{3};
+// How long a VM that doesn't read the store looks for a copy with all upstreams at other VMs.
+constexpr Duration LackingPatience = std::chrono::seconds{2};
 
 RemovalKind removalKindDuring(StoreOutage outage) {
   switch (outage) {
@@ -60,7 +62,7 @@
   update.IsRestored = false;
   if (!IsInUse)
     return;
-  update.Changes = Replica.changesSince(0).Items;
+  update.Changes = Replica.usedItems();
   std::ranges::sort(update.Changes, {}, &StoreItem::Revision);
 }
 
@@ -79,12 +81,20 @@
   if (message.Sender.Revision.Era == revision.Era && message.Sender.Revision <= revision)
     didReceiveConfirmation(message, now, update);
   if (hasChanges)
-    apply(*message.Delta, message.DeltaAfter, scopeOfChangesFrom(message.Sender.Ip),
+    apply(reduced(*message.Delta), message.DeltaAfter, scopeOfChangesFrom(message.Sender.Ip),
           Members.toOwnTime(message.StoreDownAt, now), now, update);
   release(update, now);
   return update;
 }
 
+StoreDelta FleetReplica::reduced(const StoreDelta &delta) const {
+  StoreIntake result = intake(delta.IsComplete ? IntakeKind::Copy : IntakeKind::Changes);
+  for (const StoreItem &it : delta.Items)
+    result.add(it);
+  result.setSenderState(delta.HasLeftOut, delta.IsLacking);
+  return result.take(delta.IsComplete, delta.AsOf);
+}
+
 bool FleetReplica::isNext(const FleetMessage &message) const {
   if (!message.Delta || message.Delta->AsOf <= Replica.revision())
     return false;
@@ -97,8 +107,11 @@
   // A VM without any replica reads a complete copy over a connection.
   if (asker.Revision == 0 || asker.Revision >= Replica.revision())
     return;
+  const StoreDelta delta = Replica.changesSince(asker.Revision);
+  if (!mayFitDatagram(delta))
+    return;
   for (FleetDatagram &it : answers) {
-    it.Message.Delta = Replica.changesSince(asker.Revision);
+    it.Message.Delta = delta;
     it.Message.DeltaAfter = asker.Revision;
   }
 }
@@ -187,12 +200,37 @@
                                          : PropagationScope::AllLocalVms;
 }
 
+std::vector<StoreItem> FleetReplica::useNamedServices(const StoreDelta &delta) {
+  std::vector<StoreItem> result;
+  for (const StoreItem &it : delta.Items) {
+    if (it.IsRemoved || !it.Service.empty())
+      continue;
+    const auto services = Format->namedServices(it);
+    const StoreItem *known = Replica.find(it.Key);
+    // A configuration that the replica didn't take over is an older one.
+    if (services && known && known->Revision == it.Revision)
+      std::ranges::move(Replica.use(*services, delta.IsComplete && !delta.IsLacking),
+                        std::back_inserter(result));
+  }
+  return result;
+}
+
+bool FleetReplica::isLackingForLong(TimePoint now) const {
+  return LackingFrom && now - *LackingFrom >= LackingPatience;
+}
+
 void FleetReplica::apply(const StoreDelta &delta, StoreRevision after, PropagationScope scope,
                          std::optional<TimePoint> storeDownAt, TimePoint now,
                          ReplicaUpdate &update) {
   const StoreRevision before = Replica.revision();
   const bool wasEmpty = Replica.isEmpty();
   update.Changes = Replica.apply(delta, now);
+  if (Format) {
+    std::ranges::move(useNamedServices(delta), std::back_inserter(update.Changes));
+    std::ranges::stable_sort(update.Changes, {}, &StoreItem::Revision);
+    Replica.keepWithinBound();
+  }
+  LackingFrom = Replica.isLacking() ? std::optional{LackingFrom.value_or(now)} : std::nullopt;
   update.RevisionBefore = before;
   update.IsRestored = !wasEmpty && Replica.revision().Era > before.Era;
   update.Outage = Members.storeOutage(Freshness.limits().MaxStoreSilence, now);
--- a/Libraries/LibFleet/FleetReplica.h
+++ b/Libraries/LibFleet/FleetReplica.h
@@ -12,7 +12,8 @@
 struct ReplicaUpdate {
   /// Messages to send.
   std::vector<FleetDatagram> Datagrams{};
-  /// Keys that changed in the replica, sorted by revision; all keys when it is first used.
+  /// Keys that changed in the replica and are in use, sorted by revision; all of them when it is
+  /// first used, and those of a service when a configuration first names it.
   std::vector<StoreItem> Changes{};
   /// The store acknowledged the changes at this time or later.
   TimePoint ChangesFrom{};
@@ -40,10 +41,20 @@
 /// while.
 class FleetReplica {
 public:
+  /// Without a format, which must outlive the replica, all items are kept as they are.
   FleetReplica(FleetVm self, std::vector<VmAddress> seeds, FreshnessLimits limits,
-               std::uint64_t rngSeed, TimePoint startedAt)
+               std::uint64_t rngSeed, TimePoint startedAt, const StoreFormat *format = nullptr)
       : Members(std::move(self), std::move(seeds), rngSeed, startedAt),
-        Freshness(limits, rngSeed, startedAt), StartedAt(startedAt) {}
+        Freshness(limits, rngSeed, startedAt), StartedAt(startedAt), Format(format) {}
+
+  /// For an answer of the store or of another VM.
+  StoreIntake intake(IntakeKind kind) const {
+    return StoreIntake{kind, Format, Replica.usedServices()};
+  }
+  /// Whether upstreams in use may be missing until a complete copy is read.
+  bool isLacking() const { return Replica.isLacking(); }
+  /// Whether that has lasted so long that this VM should read the store itself.
+  bool isLackingForLong(TimePoint now) const;
 
   /// Returns the regular messages; to be called every `FleetMembership::GossipInterval`.
   ReplicaUpdate tick(TimePoint now);
@@ -80,10 +91,15 @@
   bool isUsable(TimePoint now) const;
   /// Adds all keys to the changes when the replica can first be used, and removes them before.
   void release(ReplicaUpdate &update, TimePoint now);
+  /// Takes the services that the configurations among the items name into use. Returns the items
+  /// of those that none named before.
+  std::vector<StoreItem> useNamedServices(const StoreDelta &delta);
   /// Merges changes into the replica and passes them on. `storeDownAt` is when the store was last
   /// unreachable for the VM that read them from it.
   void apply(const StoreDelta &delta, StoreRevision after, PropagationScope scope,
              std::optional<TimePoint> storeDownAt, TimePoint now, ReplicaUpdate &update);
+  /// What VMs read of the items that another one has sent.
+  StoreDelta reduced(const StoreDelta &delta) const;
   PropagationScope scopeOfChangesFrom(VmAddress peer) const;
   /// Adds the changes that a VM lacks to the answers to its question.
   void addMissingChanges(const FleetVm &asker, std::vector<FleetDatagram> &answers);
@@ -101,6 +117,9 @@
   StoreReplica Replica;
   ReplicaFreshness Freshness;
   TimePoint StartedAt;
+  const StoreFormat *Format;
+  /// Since when upstreams in use may be missing.
+  std::optional<TimePoint> LackingFrom;
   bool IsInUse = false;
   /// When a message was last answered by a question.
   TimePoint AskedAt{};
--- a/Libraries/LibFleet/LibFleet.h
+++ b/Libraries/LibFleet/LibFleet.h
@@ -8,5 +8,6 @@
 #include <LibFleet/PeerClocks.h>
 #include <LibFleet/PeerReads.h>
 #include <LibFleet/ShareHolders.h>
+#include <LibFleet/StoreDeltaReader.h>
 #include <LibFleet/StoreSync.h>
 #include <LibFleet/VmAddress.h>
--- a/Libraries/LibFleet/StoreSync.cpp
+++ b/Libraries/LibFleet/StoreSync.cpp
@@ -22,7 +22,10 @@
 } // namespace
 
 StoreSyncNeed StoreSync::need(TimePoint now) const {
-  if (Fleet.members().isReader(now))
+  const bool isReader = Fleet.members().isReader(now);
+  if (Fleet.isLacking() && (isReader || Fleet.isLackingForLong(now)))
+    return StoreSyncNeed::ReplicaLacking;
+  if (isReader)
     return StoreSyncNeed::IsReader;
   return now >= Fleet.freshness().expiresAt() ? StoreSyncNeed::ReplicaExpired : StoreSyncNeed::None;
 }
--- a/Services/Gateway/FleetTask.cpp
+++ b/Services/Gateway/FleetTask.cpp
@@ -2,6 +2,8 @@
 
 #include "KeepRunning.h"
 
+#include <platform/Platform.h>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -21,15 +23,13 @@
 namespace http = boost::beast::http;
 
 constexpr auto Completion = asio::as_tuple(asio::use_awaitable);
-// Larger changes are read over HTTP by those who need them.
-constexpr std::size_t MaxDatagramBytes = 1300;
 constexpr std::size_t ReceiveBytes = 64 * 1024;
 constexpr std::string_view ReplicaTarget = "/replica?after=";
 constexpr Duration PullTimeout = std::chrono::milliseconds{1200};
-constexpr std::size_t MaxReplicaBytes = 16 * 1024 * 1024;
 // A change that was announced usually arrives by itself.
 constexpr Duration PullDelay = std::chrono::milliseconds{80};
 constexpr std::size_t MaxCallerAddresses = 64;
+constexpr std::size_t BytesPerKb = 1024;
 constexpr double WeightPerCore = 1000;
 // A link of so many Mbit/s carries the downloads of a whole core.
 constexpr double LinkMbpsPerCore = 200;
@@ -58,7 +58,7 @@
     : Owner(gateway),
       Fleet(selfOf(gateway.settings()), seedsOf(gateway.settings()),
             FreshnessLimits::forChangeDeadline(gateway.settings().Bounds.changeDeadline()), seed,
-            bootTimeNow()),
+            bootTimeNow(), &platform::platformStoreFormat()),
       Socket(gateway.context()), Server(gateway.context(), [this](HttpRequest request) {
         return answer(std::move(request));
       }) {
@@ -107,6 +107,9 @@
     Fleet.members().setShortages(Owner.shortages(now));
     publish(Fleet.tick(now), "peer");
     logReplicaAge(now);
+    logLeftOut();
+    if (Fleet.isLacking())
+      beginToCatchUp();
     shareOut(now);
     for (const auto &[ip, state] : Fleet.members().takeLivenessChanges(now))
       Owner.eventLog().write(EventLog::Priority::Important, "member",
@@ -169,11 +172,15 @@
   publish(Fleet.didReceive(message, now), "peer");
   if (message.Sender.Ip != members().self().Ip)
     Owner.didHearShortages(message.Sender.Ip, message.Shortages, now);
-  if (!IsCatchingUp && Fleet.members().isBehind(now)) {
-    IsCatchingUp = true;
-    asio::co_spawn(Owner.context(), catchUp(),
-                   [this](const std::exception_ptr &) { IsCatchingUp = false; });
-  }
+  if (Fleet.members().isBehind(now))
+    beginToCatchUp();
+}
+
+void FleetTask::beginToCatchUp() {
+  if (std::exchange(IsCatchingUp, true))
+    return;
+  asio::co_spawn(Owner.context(), catchUp(),
+                 [this](const std::exception_ptr &) { IsCatchingUp = false; });
 }
 
 asio::awaitable<void> FleetTask::catchUp() {
@@ -183,9 +190,12 @@
     timer.expires_after(wait);
     co_await timer.async_wait(Completion);
     const TimePoint now = bootTimeNow();
-    if (!Fleet.members().isBehind(now))
+    const bool isBehind = Fleet.members().isBehind(now);
+    if (!isBehind && !Fleet.isLacking())
       break;
-    if (const auto from = Reads.next(Fleet.members(), Fleet.revision(), now))
+    // Any other VM may have what this one lacks.
+    const StoreRevision known = isBehind ? Fleet.revision() : StoreRevision{};
+    if (const auto from = Reads.next(Fleet.members(), known, now))
       asio::co_spawn(Owner.context(), pull(*from),
                      [this, vm = *from](const std::exception_ptr &failure, bool hasSucceeded) {
                        Reads.didEnd(vm, !failure && hasSucceeded, bootTimeNow());
@@ -197,14 +207,18 @@
 asio::awaitable<bool> FleetTask::pull(VmAddress from) {
   ++Pulls;
   const auto endpoint = *parseEndpoint(toText(from, Owner.settings().FirstInternalPort));
-  const StoreRevision after = Fleet.revision();
+  const StoreRevision after = Fleet.isLacking() ? StoreRevision{} : Fleet.revision();
   const std::string target = fmt::format("{}{}", ReplicaTarget, after.text());
-  const auto response =
-      co_await fetch(endpoint, HttpRequest{http::verb::get, target, 11}, PullTimeout);
-  const auto bytes = response.ok() && response->result() == http::status::ok
-                         ? decompress(response->body(), MaxReplicaBytes)
-                         : std::nullopt;
-  const auto delta = bytes ? decodeStoreDelta(*bytes) : std::nullopt;
+  StoreIntake intake = Fleet.intake(IntakeKind::Changes);
+  StoreDeltaReader reader{intake};
+  const auto read = [&](const HttpResponseHead &head, std::string_view part) -> absl::Status {
+    if (head.result() == http::status::ok && !reader.write(part))
+      return absl::InvalidArgumentError("the copy is invalid");
+    return absl::OkStatus();
+  };
+  const auto head =
+      co_await fetchInParts(endpoint, HttpRequest{http::verb::get, target, 11}, PullTimeout, read);
+  const auto delta = head.ok() ? reader.finish() : std::nullopt;
   if (delta)
     publish(Fleet.didReadPeer(*delta, after, from, bootTimeNow()), "peer");
   else
@@ -214,14 +228,28 @@
 }
 
 const std::string &FleetTask::changesSince(StoreRevision after) {
-  if (AnswerBody.empty() || AnswerAfter != after || AnswerAsOf != Fleet.revision()) {
+  if (AnswerBody.empty() || AnswerAfter != after || AnswerVersion != Fleet.replica().version()) {
     AnswerBody = compress(encodeStoreDelta(Fleet.replica().changesSince(after), after));
     AnswerAfter = after;
-    AnswerAsOf = Fleet.revision();
+    AnswerVersion = Fleet.replica().version();
   }
   return AnswerBody;
 }
 
+void FleetTask::logLeftOut() {
+  const StoreReplica &replica = Fleet.replica();
+  if (std::exchange(HadLeftOut, replica.hasLeftOut()) != replica.hasLeftOut())
+    Owner.eventLog().write(
+        EventLog::Priority::Important, HadLeftOut ? "entries_left_out" : "entries_complete",
+        {{"kept_kb", fmt::format("{}", replica.bounded().unusedBytes() / BytesPerKb)},
+         {"largest_svc", replica.bounded().largestUnusedService()},
+         revisionField("rev", replica.revision())});
+  if (std::exchange(WasLacking, Fleet.isLacking()) != Fleet.isLacking())
+    Owner.eventLog().write(EventLog::Priority::Important,
+                           WasLacking ? "upstreams_lacking" : "upstreams_complete",
+                           {revisionField("rev", replica.revision())});
+}
+
 asio::awaitable<HttpResponse> FleetTask::answer(HttpRequest request) {
   const std::string_view target = request.target();
   const auto after = target.starts_with(ReplicaTarget)
--- a/Services/Gateway/FleetTask.h
+++ b/Services/Gateway/FleetTask.h
@@ -50,6 +50,10 @@
   boost::asio::awaitable<void> catchUp();
   /// Returns whether the VM answered.
   boost::asio::awaitable<bool> pull(VmAddress from);
+  /// Begins to read from other VMs, unless this VM does so already.
+  void beginToCatchUp();
+  /// Logs when upstreams that nobody uses begin to be left out, and when a copy has all of them.
+  void logLeftOut();
   void handle(const FleetMessage &message);
   /// Logs when the replica has become older than its limit, and when it is current again.
   void logReplicaAge(TimePoint now);
@@ -68,12 +72,14 @@
   /// The answer to the VM that asked last; VMs that fall behind together ask for the same.
   std::string AnswerBody;
   StoreRevision AnswerAfter = 0;
-  StoreRevision AnswerAsOf = 0;
+  std::uint64_t AnswerVersion = 0;
   PeerReads Reads;
   bool IsCatchingUp = false;
   std::uint64_t BytesSent = 0;
   std::uint64_t Pulls = 0;
   bool WasReplicaOld = false;
+  bool HadLeftOut = false;
+  bool WasLacking = false;
   /// Whether this VM held shares of what the fleet divides.
   bool HadShares = false;
   std::uint64_t OldReplicas = 0;
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -158,7 +158,7 @@
     if (!Upstreams.didRemove(id, removal, now))
       return false;
     Log.write(EventLog::Priority::Important,
-              item.IsRemoved ? "upstream_gone" : "upstream_unreadable",
+              item.IsUnreadable ? "upstream_unreadable" : "upstream_gone",
               {{"up", std::string{id}}, revisionField("rev", item.Revision)});
     return true;
   }
--- a/Services/Gateway/Ports.cpp
+++ b/Services/Gateway/Ports.cpp
@@ -94,6 +94,20 @@
                static_cast<double>(store.calls().Watches));
   text.counter("wigeonlift_store_call_failures_total", {},
                static_cast<double>(store.calls().Failed));
+  text.counter("wigeonlift_store_body_bytes_total", {},
+               static_cast<double>(store.calls().BodyBytes));
+  text.counter("wigeonlift_store_items_total", {{"kind", "ignored"}},
+               static_cast<double>(store.calls().IgnoredItems));
+  text.counter("wigeonlift_store_items_total", {{"kind", "left_out"}},
+               static_cast<double>(store.calls().LeftOutItems));
+  const StoreReplica &replica = fleet.replica();
+  text.gauge("wigeonlift_replica_items", {}, static_cast<double>(replica.items().size()));
+  text.gauge("wigeonlift_replica_unused_bytes", {},
+             static_cast<double>(replica.bounded().unusedBytes()));
+  text.gauge("wigeonlift_replica_unused_bytes_max", {},
+             static_cast<double>(BoundedItems::MaxUnusedBytes));
+  text.gauge("wigeonlift_replica_left_out", {}, replica.hasLeftOut() ? 1 : 0);
+  text.gauge("wigeonlift_replica_lacking", {}, replica.isLacking() ? 1 : 0);
   text.gauge("wigeonlift_store_revision", {},
              static_cast<double>(fleet.replica().revision().Number));
   text.gauge("wigeonlift_store_era", {}, static_cast<double>(fleet.replica().revision().Era));
--- a/Services/Gateway/StoreTask.cpp
+++ b/Services/Gateway/StoreTask.cpp
@@ -64,27 +64,38 @@
     if (call.Question)
       Peers.send({*call.Question});
     co_return;
-  case StoreSyncStep::CheckRevision: {
-    const auto revision = co_await Client.readRevision(call.Timeout);
-    if (!revision.ok())
-      co_return didFail(revision.status(), "check");
-    co_return Peers.publish(Sync.didCheck(*revision, bootTimeNow()), "store");
-  }
-  case StoreSyncStep::ReadAll: {
-    const auto delta = co_await Client.readAll(call.Timeout);
-    if (!delta.ok())
-      co_return didFail(delta.status(), "read");
-    co_return Peers.publish(Sync.didReadAll(*delta, bootTimeNow()), "store");
-  }
-  case StoreSyncStep::Watch: {
-    const auto delta = co_await Client.watch(call.After, call.Wait, call.Timeout);
-    if (!delta.ok())
-      co_return didFail(delta.status(), "watch");
-    co_return Peers.publish(Sync.didWatch(*delta, bootTimeNow()), "store");
-  }
+  case StoreSyncStep::CheckRevision:
+    co_return co_await checkRevision(call);
+  case StoreSyncStep::ReadAll:
+    co_return co_await readAll(call);
+  case StoreSyncStep::Watch:
+    co_return co_await watch(call);
   }
 }
 
+asio::awaitable<void> StoreTask::checkRevision(const StoreCall &call) {
+  const auto revision = co_await Client.readRevision(call.Timeout);
+  if (!revision.ok())
+    co_return didFail(revision.status(), "check");
+  Peers.publish(Sync.didCheck(*revision, bootTimeNow()), "store");
+}
+
+asio::awaitable<void> StoreTask::readAll(const StoreCall &call) {
+  StoreIntake intake = Peers.fleet().intake(IntakeKind::Copy);
+  const auto delta = co_await Client.readAll(call.Timeout, intake);
+  if (!delta.ok())
+    co_return didFail(delta.status(), "read");
+  Peers.publish(Sync.didReadAll(*delta, bootTimeNow()), "store");
+}
+
+asio::awaitable<void> StoreTask::watch(const StoreCall &call) {
+  StoreIntake intake = Peers.fleet().intake(IntakeKind::Changes);
+  const auto delta = co_await Client.watch(call.After, call.Wait, call.Timeout, intake);
+  if (!delta.ok())
+    co_return didFail(delta.status(), "watch");
+  Peers.publish(Sync.didWatch(*delta, bootTimeNow()), "store");
+}
+
 asio::awaitable<void> StoreTask::pause(Duration span) {
   if (span == Duration::zero())
     co_return;
--- a/Services/Gateway/StoreTask.h
+++ b/Services/Gateway/StoreTask.h
@@ -24,6 +24,9 @@
   boost::asio::awaitable<void> run();
   boost::asio::awaitable<void> waitForPeers();
   boost::asio::awaitable<void> perform(StoreCall call);
+  boost::asio::awaitable<void> checkRevision(const StoreCall &call);
+  boost::asio::awaitable<void> readAll(const StoreCall &call);
+  boost::asio::awaitable<void> watch(const StoreCall &call);
   boost::asio::awaitable<void> pause(Duration span);
   void didFail(const absl::Status &status, std::string_view call);
   /// Logs when the store was lost or regained.
--- a/Tests/LibDiscovery/TestStoreReplica.cpp
+++ b/Tests/LibDiscovery/TestStoreReplica.cpp
@@ -1,7 +1,12 @@
+#include <Tests/Support/FakeStoreFormat.h>
+
 #include <LibDiscovery/LibDiscovery.h>
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <iterator>
+
 namespace wigeonlift {
 
 namespace {
@@ -143,4 +148,128 @@
   EXPECT_EQ(replica.find("a")->Value, "v");
 }
 
+namespace {
+
+StoreItem upstream(const std::string &id, const std::string &service, StoreRevision revision) {
+  return FakeStoreFormat::upstream(id, service, revision);
+}
+
+/// Upstreams of a service, more than are kept of services that nobody uses.
+StoreDelta flood(const std::string &service, std::uint64_t asOf, bool isComplete = false) {
+  StoreDelta result{.IsComplete = isComplete, .AsOf = asOf};
+  for (int n = 0; n < 20'000; ++n)
+    result.Items.push_back(upstream(service + std::to_string(n), service, asOf));
+  return result;
+}
+
+std::size_t count(const StoreReplica &replica, std::string_view service) {
+  return replica.bounded().itemsOf(service).size();
+}
+
+const std::vector<std::string> Late{"late"};
+
+} // namespace
+
+// Guards against a service that has no upstreams when a configuration names it, although they were
+// registered before, and against changes of services that nobody uses and that VMs act upon.
+TEST(StoreReplica, AServiceHasItsUpstreamsWhenItIsNamed) {
+  StoreReplica replica;
+  EXPECT_TRUE(
+      replica.apply(delta({upstream("1", "late", 1), upstream("2", "late", 2)}, 2), Start).empty());
+  EXPECT_EQ(replica.use(Late, false).size(), 2U);
+  EXPECT_TRUE(replica.use(Late, false).empty());
+  EXPECT_FALSE(replica.isLacking());
+  EXPECT_EQ(replica.apply(delta({upstream("3", "late", 3)}, 3), Start).size(), 1U);
+  EXPECT_EQ(replica.usedItems().size(), 3U);
+}
+
+// Guards against an upstream that stays in use after its entry names a service that nobody uses.
+TEST(StoreReplica, AnUpstreamLeavesAServiceInUse) {
+  StoreReplica replica;
+  replica.use(Late, false);
+  replica.apply(delta({upstream("1", "late", 1)}, 1), Start);
+  const auto changes = replica.apply(delta({upstream("1", "other", 2)}, 2), Start);
+  ASSERT_EQ(changes.size(), 1U);
+  EXPECT_TRUE(changes[0].IsRemoved);
+  StoreDelta restored = delta({upstream("1", "late", 1)}, StoreRevision{1, 2}, true);
+  EXPECT_FALSE(replica.apply(restored, Start)[0].IsRemoved);
+  restored = delta({upstream("1", "other", 1)}, StoreRevision{2, 2}, true);
+  EXPECT_TRUE(replica.apply(restored, Start)[0].IsRemoved);
+}
+
+// Guards against a replica that grows with what others write, against upstreams in use that give
+// way, and against a service that lacks its upstreams for good, as a copy with older revisions than
+// the replica's is taken for outdated.
+TEST(StoreReplica, WhatWasLeftOutIsAdoptedWhenItIsNamed) {
+  StoreReplica replica;
+  replica.use(std::vector<std::string>{"used"}, false);
+  replica.apply(flood("used", 1), Start);
+  replica.apply(flood("late", 2), Start);
+  replica.keepWithinBound();
+  EXPECT_EQ(count(replica, "used"), 20'000U);
+  EXPECT_LT(count(replica, "late"), 20'000U);
+  EXPECT_TRUE(replica.hasLeftOut());
+  EXPECT_FALSE(replica.isLacking());
+  replica.use(Late, false);
+  EXPECT_TRUE(replica.isLacking());
+  StoreDelta copy = flood("late", 2, true);
+  std::ranges::move(flood("used", 1).Items, std::back_inserter(copy.Items));
+  const auto changes = replica.apply(copy, Start);
+  EXPECT_EQ(count(replica, "late"), 20'000U);
+  EXPECT_EQ(count(replica, "used"), 20'000U);
+  EXPECT_GT(changes.size(), 10'000U);
+  EXPECT_FALSE(replica.isLacking());
+  EXPECT_FALSE(replica.hasLeftOut());
+}
+
+// Guards against an upstream that comes back with a copy from before its removal, which a VM takes
+// since it lacks others.
+TEST(StoreReplica, RemovedUpstreamsAreNotAdopted) {
+  StoreReplica replica;
+  replica.apply(flood("late", 2), Start);
+  replica.keepWithinBound();
+  replica.apply(delta({removal("u/late19999", 5)}, 5), Start);
+  replica.use(Late, false);
+  replica.apply(flood("late", 4, true), Start);
+  EXPECT_EQ(count(replica, "late"), 19'999U);
+  EXPECT_EQ(replica.find("u/late19999"), nullptr);
+}
+
+// Guards against the copy of a VM that lacks upstreams, which takes them from a VM that has them.
+TEST(StoreReplica, ACopyThatIsLackingRemovesNoUpstreams) {
+  StoreReplica replica;
+  replica.use(Late, false);
+  replica.apply(delta({upstream("1", "late", 1), item("other", "1", 1)}, 1), Start);
+  StoreDelta copy = delta({}, 2, true);
+  copy.IsLacking = true;
+  copy.HasLeftOut = true;
+  const auto changes = replica.apply(copy, Start);
+  ASSERT_EQ(changes.size(), 1U);
+  EXPECT_EQ(changes[0].Key, "other");
+  EXPECT_NE(replica.find("u/1"), nullptr);
+  EXPECT_TRUE(replica.isLacking());
+  replica.apply(delta({upstream("2", "late", 3)}, 3, true), Start);
+  EXPECT_FALSE(replica.isLacking());
+  EXPECT_EQ(replica.find("u/1"), nullptr);
+}
+
+// Guards against removals by others that a VM remembers without a bound, and against a peer that
+// misses one that is forgotten.
+TEST(StoreReplica, RemovalsAreBounded) {
+  StoreReplica replica;
+  StoreReplica peer;
+  for (StoreReplica *it : {&replica, &peer})
+    it->apply(delta({item("a", "1", 1)}, 1), Start);
+  replica.apply(delta({removal("a", 2)}, 2), Start);
+  for (std::uint64_t n = 3; n < 3 + 2 * StoreReplica::MaxRemovals; ++n)
+    replica.apply(delta({removal("u/" + std::to_string(n), n)}, n), Start);
+  const StoreDelta changes = replica.changesSince(1);
+  EXPECT_TRUE(changes.IsComplete);
+  EXPECT_TRUE(changes.Items.empty());
+  EXPECT_LE(replica.changesSince(StoreReplica::MaxRemovals + 10).Items.size(),
+            StoreReplica::MaxRemovals);
+  peer.apply(changes, Start);
+  EXPECT_EQ(peer.find("a"), nullptr);
+}
+
 } // namespace wigeonlift
--- a/Tests/LibFleet/TestFleetReplica.cpp
+++ b/Tests/LibFleet/TestFleetReplica.cpp
@@ -1,8 +1,11 @@
+#include <Tests/Support/FakeStoreFormat.h>
+
 #include <LibFleet/LibFleet.h>
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <string>
 
 namespace wigeonlift {
 
@@ -331,4 +334,149 @@
   EXPECT_EQ(decoded->Others, message.Others);
 }
 
+namespace {
+
+const FakeStoreFormat Format;
+
+FleetReplica formattedReplicaOf(VmAddress ip) {
+  return FleetReplica{FleetVm{.Ip = ip, .DataCentre = "a", .Incarnation = 1},
+                      {},
+                      FreshnessLimits::forChangeDeadline(std::chrono::seconds{2}),
+                      1,
+                      Start,
+                      &Format};
+}
+
+StoreItem upstream(const std::string &id, const std::string &service, StoreRevision revision) {
+  return FakeStoreFormat::upstream(id, service, revision);
+}
+
+/// Upstreams of a service, more than are kept of services that nobody uses.
+void addFlood(StoreDelta &delta, const std::string &service, StoreRevision revision) {
+  for (int n = 0; n < 20'000; ++n)
+    delta.Items.push_back(upstream(service + std::to_string(n), service, revision));
+}
+
+std::size_t upstreamsIn(const ReplicaUpdate &update, std::string_view service) {
+  return static_cast<std::size_t>(std::ranges::count(update.Changes, service, &StoreItem::Service));
+}
+
+/// Has read a store that has more upstreams of `late` than are kept, and whose configuration names
+/// `used`.
+FleetReplica floodedReplicaOf(VmAddress ip) {
+  FleetReplica replica = formattedReplicaOf(ip);
+  StoreDelta copy{
+      .Items = {FakeStoreFormat::configuration("used,", 3)}, .IsComplete = true, .AsOf = 7};
+  addFlood(copy, "late", 4);
+  copy.Items.push_back(upstream("u", "used", 5));
+  replica.didReadStore(copy, 0, Start, Start);
+  return replica;
+}
+
+/// The same store once its configuration names `late`.
+StoreDelta copyThatNamesLate() {
+  StoreDelta copy{
+      .Items = {FakeStoreFormat::configuration("used,late,", 8)}, .IsComplete = true, .AsOf = 8};
+  addFlood(copy, "late", 4);
+  copy.Items.push_back(upstream("u", "used", 5));
+  return copy;
+}
+
+const StoreDelta NamesLate{.Items = {FakeStoreFormat::configuration("used,late,", 8)}, .AsOf = 8};
+
+} // namespace
+
+// Guards against a service whose upstreams are missing when a configuration names it, and against
+// upstreams of services that nobody uses and that a VM would have to hold and act upon.
+TEST(FleetReplica, AServiceThatIsNamedHasItsUpstreamsAtOnce) {
+  FleetReplica replica = formattedReplicaOf(Receiver);
+  const auto first =
+      replica.didReadStore({.Items = {FakeStoreFormat::configuration("used,", 3),
+                                      upstream("1", "used", 4), upstream("2", "late", 5)},
+                            .IsComplete = true,
+                            .AsOf = 7},
+                           0, Start, Start);
+  EXPECT_EQ(upstreamsIn(first, "used"), 1U);
+  EXPECT_EQ(upstreamsIn(first, "late"), 0U);
+  const auto second = replica.didReadStore(NamesLate, 7, Start, Start);
+  EXPECT_EQ(upstreamsIn(second, "late"), 1U);
+  EXPECT_FALSE(replica.isLacking());
+  EXPECT_TRUE(std::ranges::is_sorted(second.Changes, {}, &StoreItem::Revision));
+}
+
+// Guards against upstreams that gave way and that nobody asks for when their service is named.
+TEST(FleetReplica, UpstreamsThatGaveWayAreReadWhenTheyAreNamed) {
+  FleetReplica replica = floodedReplicaOf(Receiver);
+  EXPECT_TRUE(replica.replica().hasLeftOut());
+  EXPECT_FALSE(replica.isLacking());
+  const std::size_t atOnce = upstreamsIn(replica.didReadStore(NamesLate, 7, Start, Start), "late");
+  EXPECT_GT(atOnce, 1000U);
+  EXPECT_TRUE(replica.isLacking());
+  StoreSync sync{replica, 1};
+  EXPECT_EQ(sync.next(Start).Step, StoreSyncStep::ReadAll);
+  const auto update = sync.didReadAll(copyThatNamesLate(), Start);
+  EXPECT_EQ(upstreamsIn(update, "late") + atOnce, 20'000U);
+  EXPECT_FALSE(replica.isLacking());
+  EXPECT_NE(sync.next(Start).Step, StoreSyncStep::ReadAll);
+}
+
+// Guards against the copy of a VM that lacks upstreams, which takes them from one that has them,
+// and against a VM that doesn't take what it lacks from another one.
+TEST(FleetReplica, ALackingCopyTakesNothingFromOthers) {
+  FleetReplica lacking = floodedReplicaOf(Sender);
+  lacking.didReadStore(NamesLate, 7, Start, Start);
+  FleetReplica whole = formattedReplicaOf(Receiver);
+  whole.didReadStore(copyThatNamesLate(), 0, Start, Start);
+  ASSERT_FALSE(whole.isLacking());
+  lacking.didReadStore({.Items = {upstream("u", "used", 9)}, .AsOf = 9}, 8, Start, Start);
+  whole.didReadPeer(lacking.replica().changesSince(0), 0, Sender, Start);
+  EXPECT_EQ(whole.replica().bounded().itemsOf("late").size(), 20'000U);
+  whole.didReadStore(copyThatNamesLate(), 0, Start, Start);
+  lacking.didReadPeer(whole.replica().changesSince(0), 0, Receiver, Start);
+  EXPECT_EQ(lacking.replica().bounded().itemsOf("late").size(), 20'000U);
+}
+
+// Guards against a VM that starts with another VM's copy, from which unused upstreams were left
+// out, and reads the store for nothing.
+TEST(FleetReplica, ACopyWithAllUpstreamsInUseIsEnough) {
+  FleetReplica sender = floodedReplicaOf(Sender);
+  FleetReplica receiver = formattedReplicaOf(Receiver);
+  receiver.didReadPeer(sender.replica().changesSince(0), 0, Sender, Start);
+  EXPECT_TRUE(receiver.replica().hasLeftOut());
+  EXPECT_FALSE(receiver.isLacking());
+}
+
+// Guards against messages that each hold a copy of changes which no datagram can carry: a change of
+// the store would take the memory of the copy times the number of VMs.
+TEST(FleetReplica, LargeChangesAreNotCopiedToMessages) {
+  FleetReplica replica = formattedReplicaOf(Receiver);
+  FleetMessage message{.Sender = {.Ip = Sender, .DataCentre = "a", .Incarnation = 1}};
+  replica.didReceive(message, Start);
+  StoreDelta delta{.AsOf = 9};
+  addFlood(delta, "used", 9);
+  const auto large = replica.didReadStore(delta, 0, Start, Start);
+  ASSERT_FALSE(large.Datagrams.empty());
+  for (const FleetDatagram &it : large.Datagrams)
+    EXPECT_FALSE(it.Message.Delta);
+  const auto small =
+      replica.didReadStore({.Items = {upstream("x", "used", 10)}, .AsOf = 10}, 9, Start, Start);
+  ASSERT_FALSE(small.Datagrams.empty());
+  for (const FleetDatagram &it : small.Datagrams)
+    EXPECT_TRUE(it.Message.Delta);
+}
+
+// Guards against what a VM of an older version passes on: fields and keys that nobody reads.
+TEST(FleetReplica, WhatNobodyReadsIsNotTakenFromOthers) {
+  FleetReplica replica = formattedReplicaOf(Receiver);
+  FleetMessage message{.Sender = {.Ip = Sender, .DataCentre = "a", .Incarnation = 1}};
+  message.Sender.Revision = 8;
+  message.Delta = StoreDelta{.Items = {{.Key = "u/1", .Value = "used|text", .Revision = 7},
+                                       {.Key = "notes", .Value = "text", .Revision = 8}},
+                             .IsComplete = true,
+                             .AsOf = 8};
+  replica.didReceive(message, Start);
+  EXPECT_EQ(replica.replica().items().size(), 1U);
+  EXPECT_EQ(replica.replica().find("u/1")->Value, "used");
+}
+
 } // namespace wigeonlift
--- a/Tests/Platform/TestPlatform.cpp
+++ b/Tests/Platform/TestPlatform.cpp
@@ -209,11 +209,12 @@
 // accepted.
 TEST(StoreClient, DecodesWatchResponsesAndPages) {
   const auto delta = platform::decodeWatchResponse(
-      R"({"events":[{"key":"a","value":"bm9kZS0x","revision":412,"create-revision":412,"lease":7},)"
-      R"({"key":"b","revision":413,"deleted":true}],"as-of":413})");
+      R"({"events":[{"key":"op/config","value":"bm9kZS0x","revision":412,"create-revision":412,)"
+      R"("lease":7},{"key":"servers/b","revision":413,"deleted":true}],"as-of":413})");
   ASSERT_TRUE(delta.ok());
   ASSERT_EQ(delta->Items.size(), 2U);
   EXPECT_EQ(delta->Items[0].Value, "node-1");
+  EXPECT_EQ(delta->Items[0].Revision, 412U);
   EXPECT_TRUE(delta->Items[1].IsRemoved);
   EXPECT_EQ(delta->AsOf, 413U);
   const auto page = platform::decodeStorePage(R"({"items":[],"has-more":true,"as-of":5})");
