Gateway: A withdrawn attempt doesn't keep its request's body

Uploads to upstreams that read slowly let a gateway's memory grow by 8 MB a second until it is ended; look-ups that it had passed on lose their answers.

Cause: an attempt that is withdrawn before it is sent stayed in ServiceTask::Attempts, which owned it, its request and the body.

Change: maySend takes it out. The table holds weak pointers, so that only the coroutine that carries an attempt owns it.

Evidence: SlowReaders.WithdrawnAttemptsAreNotKept fails on the old code (2 attempts are left) and passes now.

--- a/Services/Gateway/ServiceTask.cpp
+++ b/Services/Gateway/ServiceTask.cpp
@@ -253,6 +253,9 @@
     ++attempt.Request->Attempts;
     attempt.Request->LastSentAt = bootTimeNow();
     Log.didSend(*attempt.Request, attempt.Upstream->Record.Id, *choice);
+  } else {
+    // It was withdrawn, and its request may have been placed again.
+    Attempts.erase(attempt.Id);
   }
   execute(out);
   return may;
@@ -364,8 +367,10 @@
   const auto it = Attempts.find(command.Attempt);
   if (it == Attempts.end())
     return;
-  const auto attempt = it->second;
+  const auto attempt = it->second.lock();
   Attempts.erase(it);
+  if (!attempt)
+    return;
   attempt->IsAbandoned = true;
   attempt->Wait->abandon();
   if (attempt->Connection)
--- a/Services/Gateway/ServiceTask.h
+++ b/Services/Gateway/ServiceTask.h
@@ -107,6 +107,8 @@
 
   const ServiceBalancer &balancer() const { return Balancer; }
   std::size_t upstreams() const { return Upstreams.size(); }
+  /// Attempts that are known here. Each belongs to one of the balancer.
+  std::size_t attempts() const { return Attempts.size(); }
   PoolCounts connections() const;
 
 private:
@@ -144,7 +146,8 @@
   std::map<std::string, std::shared_ptr<KnownUpstream>> Upstreams;
   std::map<UpstreamIndex, std::shared_ptr<KnownUpstream>> ByIndex;
   std::map<CallId, std::shared_ptr<ProxiedRequest>> Requests;
-  std::map<AttemptId, std::shared_ptr<RunningAttempt>> Attempts;
+  /// The coroutines that carry the attempts own them, and with them the bodies of the requests.
+  std::map<AttemptId, std::weak_ptr<RunningAttempt>> Attempts;
   std::uint32_t LastIndex = 0;
   boost::asio::steady_timer Timer;
   TimePoint ArmedFor = TimePoint::max();
--- a/Tests/Gateway/TestSlowReaders.cpp
+++ b/Tests/Gateway/TestSlowReaders.cpp
@@ -186,4 +186,34 @@
     EXPECT_EQ(statusOf(*it), 200);
 }
 
+// Guards against attempts that are withdrawn before they are sent and are kept for ever with the
+// bodies of their requests: the review's case 12, in which the memory of a VM grew by 8 MB a
+// second.
+TEST_F(SlowReaders, WithdrawnAttemptsAreNotKept) {
+  const PlatformUpstream::Script script = [](const std::string &id) -> FakeReply {
+    return {sealedAnswer(id, "done")};
+  };
+  PlatformUpstream first{Context, "i-1", script};
+  PlatformUpstream second{Context, "i-2", script};
+  for (PlatformUpstream *it : {&first, &second}) {
+    it->server().limitUnread(KernelBufferBytes);
+    it->server().BodyStepBytes = 400;
+    it->server().BodyPause = 100ms;
+  }
+  configure({&first, &second});
+  std::vector<std::shared_ptr<RawCaller>> callers;
+  for (int n = 0; n < 12; ++n) {
+    callers.push_back(connect());
+    callers.back()->send(callerRequest("POST", "/record/1", fmt::format("attempt-{}", n),
+                                       std::string(500'000, 'x')));
+  }
+  runUntil(
+      [&] { return std::ranges::all_of(callers, [](const auto &it) { return it->hasAnswer(); }); });
+  const auto refused =
+      std::ranges::count(callers, 503, [](const auto &it) { return statusOf(*it); });
+  EXPECT_GE(refused, 8);
+  EXPECT_EQ(Core.service("s")->balancer().runningAttempts(), 0U);
+  EXPECT_EQ(Core.service("s")->attempts(), 0U);
+}
+
 } // namespace wigeonlift
