LibHttp: A read ahead ends also if bytes arrive when it is stopped

Look-ups behind an upload that is refused at once are read and never answered.

Cause: the signal that ends CallerConnection::readAhead finds nothing to cancel when a read has got bytes and its handler waits. The loop then read on, and nothing woke it.

Change: the loop asks before each read whether it is done. This was the only use of a cancellation signal in the gateway; the other waits of the session check their condition right before they wait.

GatewayFixture.RequestsBehindARefusedUploadAreAnswered plays the case; it passes on the old code too, as the moment is up to chance.

--- a/Libraries/LibHttp/CallerConnection.cpp
+++ b/Libraries/LibHttp/CallerConnection.cpp
@@ -164,8 +164,9 @@
   co_return part;
 }
 
-asio::awaitable<bool> CallerConnection::readAhead(asio::cancellation_signal &stop) {
-  while (Reader->Buffer.size() < MaxBufferedBytes) {
+asio::awaitable<bool> CallerConnection::readAhead(asio::cancellation_signal &stop,
+                                                  std::function<bool()> isDone) {
+  while (!isDone() && Reader->Buffer.size() < MaxBufferedBytes) {
     const std::size_t most = std::min(BodyStepBytes, MaxBufferedBytes - Reader->Buffer.size());
     const auto [ec, n] = co_await Socket.async_read_some(
         Reader->Buffer.prepare(most),
--- a/Libraries/LibHttp/CallerConnection.h
+++ b/Libraries/LibHttp/CallerConnection.h
@@ -73,9 +73,12 @@
   /// Reads the next part of the body into the buffer.
   boost::asio::awaitable<BodyPart> readBodyPart(std::span<char> buf);
 
-  /// Reads bytes of later requests into the buffer until it is full or `stop` is emitted, so that
-  /// a close by the caller is noticed while its requests are not parsed. False when it has closed.
-  boost::asio::awaitable<bool> readAhead(boost::asio::cancellation_signal &stop);
+  /// Reads bytes of later requests into the buffer until it is full or `isDone` holds, so that a
+  /// close by the caller is noticed while its requests are not parsed. `stop` is to be emitted when
+  /// `isDone` begins to hold; it ends a read that waits, but not one that has just got bytes. False
+  /// when the caller has closed.
+  boost::asio::awaitable<bool> readAhead(boost::asio::cancellation_signal &stop,
+                                         std::function<bool()> isDone);
   /// Reads and drops what the caller still sends, up to a limit, until it closes. A connection that
   /// is closed with unread bytes is reset, and the caller may lose the last response.
   boost::asio::awaitable<void> discardInput();
--- a/Services/Gateway/CallerSession.cpp
+++ b/Services/Gateway/CallerSession.cpp
@@ -101,11 +101,11 @@
 }
 
 asio::awaitable<bool> CallerSession::awaitAnswer() {
-  const std::uint64_t before = Answered;
-  if (!co_await Caller->readAhead(StopReadAhead))
+  const auto isDone = [this, before = Answered] { return Answered != before || IsEnding; };
+  if (!co_await Caller->readAhead(StopReadAhead, isDone))
     co_return false;
   // The buffer may be full.
-  if (Answered == before && !IsEnding)
+  if (!isDone())
     co_await RequestAnswered.async_wait(Completion);
   co_return true;
 }
--- a/Tests/Gateway/TestPipelining.cpp
+++ b/Tests/Gateway/TestPipelining.cpp
@@ -175,4 +175,34 @@
   runUntil([&] { return Callers.connections() == 0; });
 }
 
+// Guards against requests that wait for ever behind one that is answered while they arrive: the
+// review's case 13. Bodies of a MiB make the session read ahead until there is room.
+TEST_F(GatewayFixture, RequestsBehindARefusedUploadAreAnswered) {
+  configure({});
+  constexpr int requests = 12;
+  constexpr std::size_t bodyBytes = 600'000;
+  // More than is read at a time, less than the buffer takes.
+  const std::string longField = "X-Long: " + std::string(3000, 'x') + "\r\n";
+  std::string text;
+  for (int n = 0; n < requests; ++n)
+    text += n < 2 ? callerRequest("POST", "/record/1", "a", std::string(bodyBytes, 'x'))
+                  : callerRequest("GET", "/look/1", "a", "", longField);
+  const auto answers = [](const RawCaller &caller) {
+    int n = 0;
+    for (std::size_t at = 0; (at = caller.Received.find("HTTP/1.1 503", at)) != std::string::npos;
+         ++at)
+      ++n;
+    return n;
+  };
+  // Whether the answer is written just when bytes have arrived is up to chance.
+  for (int n = 0; n < 20 && !HasFatalFailure(); ++n) {
+    const auto caller = connect();
+    caller->send(text);
+    runUntil([&] { return answers(*caller) == requests || caller->IsClosed; });
+    EXPECT_EQ(answers(*caller), requests);
+    caller->close();
+    runUntil([&] { return Callers.connections() == 0; });
+  }
+}
+
 } // namespace wigeonlift
