LibDiscovery: What a copy left out doesn't count as removed

Seen: on reading the change. A copy from another VM that leaves out unused upstreams made this VM remember their removal. When their service was named, no copy could bring them back, as their revisions are older.

Change: such a copy takes them out without a removal that is remembered; that isn't needed, since the copy is the latest one. Besides, an answer without changes no longer makes the copy for other VMs anew.

--- a/Libraries/LibDiscovery/StoreReplica.cpp
+++ b/Libraries/LibDiscovery/StoreReplica.cpp
@@ -29,12 +29,15 @@
   // Changes after a revision of a later era don't tell what the store lost when it was restored.
   if (delta.AsOf.Era > AsOf.Era)
     return delta.IsComplete ? replaceBy(delta) : std::vector<StoreItem>{};
-  ++Version;
+  if (!delta.Items.empty() || delta.IsComplete || delta.AsOf > AsOf)
+    ++Version;
   std::vector<StoreItem> changes;
-  const auto remove = [&](const std::string &key, StoreRevision revision, bool isUnreadable) {
-    Items.erase(key);
+  const auto remember = [&](const std::string &key, StoreRevision revision) {
     RemovalRevisions[key] = revision;
     Removals.push_back({revision, key, now});
+  };
+  const auto remove = [&](const std::string &key, StoreRevision revision, bool isUnreadable) {
+    Items.erase(key);
     changes.push_back(
         {.Key = key, .Revision = revision, .IsRemoved = true, .IsUnreadable = isUnreadable});
   };
@@ -52,6 +55,7 @@
     if (!current && it.Revision <= AsOf && !mayAdoptOlder)
       continue;
     if (it.IsRemoved) {
+      remember(it.Key, it.Revision);
       remove(it.Key, it.Revision, it.IsUnreadable);
       continue;
     }
@@ -72,8 +76,12 @@
       if (!deltaKeys.contains(key) && item.Revision <= delta.AsOf && !mayBeLacking)
         missingKeys.push_back(key);
     }
-    for (const std::string &key : missingKeys)
+    for (const std::string &key : missingKeys) {
+      // What was left out still exists, and may be adopted from a later copy.
+      if (!delta.HasLeftOut)
+        remember(key, delta.AsOf);
       remove(key, delta.AsOf, false);
+    }
     // The true revisions of these removals are unknown; `delta.AsOf` is only an upper bound.
     // `changesSince` therefore can't build a delta that begins before this complete copy.
     RemovalsIncompleteUpTo = std::max(RemovalsIncompleteUpTo, delta.AsOf);
--- a/Libraries/LibFleet/FleetReplica.cpp
+++ b/Libraries/LibFleet/FleetReplica.cpp
@@ -105,7 +105,7 @@
 
 void FleetReplica::addMissingChanges(const FleetVm &asker, std::vector<FleetDatagram> &answers) {
   // A VM without any replica reads a complete copy over a connection.
-  if (asker.Revision == 0 || asker.Revision >= Replica.revision())
+  if (answers.empty() || asker.Revision == 0 || asker.Revision >= Replica.revision())
     return;
   const StoreDelta delta = Replica.changesSince(asker.Revision);
   if (!mayFitDatagram(delta))
--- a/Tests/LibDiscovery/TestStoreReplica.cpp
+++ b/Tests/LibDiscovery/TestStoreReplica.cpp
@@ -222,6 +222,32 @@
   EXPECT_FALSE(replica.hasLeftOut());
 }
 
+// Guards against an upstream that another VM's copy left out, which counts as removed from then on:
+// its service would lack it for good when it is named.
+TEST(StoreReplica, WhatACopyLeftOutIsNotRemoved) {
+  StoreReplica replica;
+  replica.apply(delta({upstream("1", "late", 1)}, 1), Start);
+  StoreDelta copy = delta({}, 2, true);
+  copy.HasLeftOut = true;
+  replica.apply(copy, Start);
+  EXPECT_EQ(replica.find("u/1"), nullptr);
+  replica.use(Late, false);
+  EXPECT_TRUE(replica.isLacking());
+  EXPECT_EQ(replica.apply(delta({upstream("1", "late", 1)}, 2, true), Start).size(), 1U);
+  EXPECT_FALSE(replica.isLacking());
+}
+
+// Guards against a copy for other VMs that is made anew though nothing has changed.
+TEST(StoreReplica, AnAnswerWithoutChangesIsNoNewVersion) {
+  StoreReplica replica;
+  replica.apply(delta({item("a", "1", 1)}, 1), Start);
+  const std::uint64_t version = replica.version();
+  replica.apply(delta({}, 1), Start);
+  EXPECT_EQ(replica.version(), version);
+  replica.apply(delta({}, 2), Start);
+  EXPECT_NE(replica.version(), version);
+}
+
 // Guards against an upstream that comes back with a copy from before its removal, which a VM takes
 // since it lacks others.
 TEST(StoreReplica, RemovedUpstreamsAreNotAdopted) {
