--- a/Meta/soak/__main__.py
+++ b/Meta/soak/__main__.py
@@ -12,6 +12,7 @@
 
 from .callers import HOST, Caller, exchange_once
 from .fleet import Fleet, Vm
+from .flood import Flood
 from . import patient
 from .judge import CONFIG_S, EVACUATION_S, SLACK_S, Judge
 from .plan import Plan, configuration
@@ -76,6 +77,8 @@
             await self.add_upstream(SERVICES[n % 2], ZONES[n % 3])
         if self.options.patient:
             await patient.Patient.add_upstreams(self)
+        if self.options.flood:
+            await Flood.add_upstreams(self)
         await asyncio.gather(*(vm.start() for vm in self.fleet.vms))
         await asyncio.sleep(2)
         until = time.monotonic() + self.options.seconds
@@ -95,6 +98,8 @@
             faults += (Plan.of_evacuations(self, new_random(self.options.seed, "evacuations")).run(until),)
         if self.options.restores:
             faults += (Restores(self, plan, new_random(self.options.seed, "restores")).run(until),)
+        if self.options.flood:
+            faults += (Flood(self, plan, new_random(self.options.seed, "flood")).run(until),)
         await asyncio.gather(*faults, self.watch_configuration(until, plan),
                              *(caller.run(loop_until, 0.2) for caller in callers))
         await self.check_recovery()
@@ -122,12 +127,12 @@
         if status and (status == "404") not in [it % 2 == 0 for it in allowed]:
             self.judge.broke("configuration", f"{vm.name} answers {status} under version {version}")
 
-    async def ask(self, vm, prefix):
+    async def ask(self, vm, prefix, deadline_ms=1500):
         """Sends a request of no importance on a route. Returns the status, or None without an answer."""
         attempt = f"{self.rng.getrandbits(64):016x}"
         target = f"{prefix}{attempt}?bytes=10"
         self.judge.did_send(attempt, "safe", target, b"", vm.name)
-        fields = {"X-Wigeonlift-Attempt-Id": attempt, "X-Wigeonlift-Deadline-Remaining": "1500", "Connection": "close"}
+        fields = {"X-Wigeonlift-Attempt-Id": attempt, "X-Wigeonlift-Deadline-Remaining": f"{deadline_ms}", "Connection": "close"}
         try:
             answer = await asyncio.wait_for(exchange_once(vm.address, wire.request("GET", target, HOST, fields)), 2)
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
@@ -174,6 +179,7 @@
     parser.add_argument("--restores", action="store_true", help="with a store that is restored from older copies")
     parser.add_argument("--patient", action="store_true", help="planned stops only, with callers that have much time")
     parser.add_argument("--evacuate", action="store_true", help="with evacuations of data centres")
+    parser.add_argument("--flood", action="store_true", help="with another writer who fills the store")
     parser.add_argument("--log", help="file for what the processes write")
     options = parser.parse_args()
     # Handlers of open connections end with the loop, which is no news.
--- a/Meta/soak/fleet.py
+++ b/Meta/soak/fleet.py
@@ -55,6 +55,15 @@
     def is_running(self):
         return self.process is not None and self.process.returncode is None
 
+    def resident_mb(self):
+        if not self.is_running():
+            return 0.0
+        try:
+            with open(f"/proc/{self.process.pid}/statm", encoding="ascii") as file:
+                return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / (1 << 20)
+        except (OSError, IndexError):
+            return 0.0
+
     def signal(self, number):
         if self.is_running():
             self.process.send_signal(number)
--- a/Meta/soak/judge.py
+++ b/Meta/soak/judge.py
@@ -4,7 +4,7 @@
 import time
 
 PROMISES = ("own-answer", "whole-answer", "at-most-once", "not-run-is-true", "unasked", "draining", "configuration",
-            "repeat-budget", "graceful-stop", "recovery", "rate-limit", "stay-away", "leaving", "evacuation")
+            "repeat-budget", "graceful-stop", "recovery", "rate-limit", "stay-away", "leaving", "evacuation", "memory")
 DRAIN_S = 2.0
 CONFIG_S = 2.0
 # Time after which an evacuation is in force, and how much longer it may take if the store was disturbed.
@@ -22,6 +22,8 @@
 STAY_AWAY_SLACK_S = 0.5
 # A close that crosses a request is allowed for so long after the request was sent.
 LOSS_SLACK_S = 0.2
+# Memory of the smallest VM.
+MEMORY_MB = 160
 # What the judge itself takes to notice an event.
 SLACK_S = 0.3
 # A fault excuses what it concerns until this long after its end.
@@ -61,6 +63,10 @@
         # Planned stops with the starts that follow, by VM. They concern only what the VM knows.
         self.restarts = collections.defaultdict(list)
 
+    def did_use_memory(self, vm, resident_mb):
+        if resident_mb > MEMORY_MB:
+            self.broke("memory", f"{vm} has {resident_mb:.0f} MB resident")
+
     def broke(self, promise, what):
         self.found.append((promise, what))
 
--- a/Meta/soak/planted.py
+++ b/Meta/soak/planted.py
@@ -96,6 +96,9 @@
     it.told_leaving[("vm-1", "i-1")] = time.monotonic() - 3
     it.did_arrive("x", Place)
     yield "leaving", it
+    it = judge()
+    it.did_use_memory("vm-1", 200)
+    yield "memory", it
 
 
 def main():
