Gateway: A VM that lacks upstreams asks others once a second

Each answer is a complete copy, so a fleet whose store is away at that moment would spend its links on them. A counter that nothing read is gone. The case arises only if upstreams gave way and their service is then named.

--- a/Libraries/LibDiscovery/StoreReplica.cpp
+++ b/Libraries/LibDiscovery/StoreReplica.cpp
@@ -126,11 +126,9 @@
 }
 
 void StoreReplica::keepWithinBound() {
-  const std::size_t n = Items.shed();
-  if (n == 0)
+  if (Items.shed() == 0)
     return;
   ++Version;
-  Dropped += n;
   HasLeftOut = true;
 }
 
--- a/Libraries/LibDiscovery/StoreReplica.h
+++ b/Libraries/LibDiscovery/StoreReplica.h
@@ -49,8 +49,6 @@
   /// Whether upstreams in use may be missing, since their service was named after they were left
   /// out.
   bool isLacking() const { return LackingSince.has_value(); }
-  /// Items that this replica has dropped to keep within the bound.
-  std::uint64_t dropped() const { return Dropped; }
   /// Increases whenever the replica changes, also if its revision doesn't.
   std::uint64_t version() const { return Version; }
   const BoundedItems &bounded() const { return Items; }
@@ -97,7 +95,6 @@
   bool HasLeftOut = false;
   /// Revision of the replica when a service was named of which upstreams may be missing.
   std::optional<StoreRevision> LackingSince;
-  std::uint64_t Dropped = 0;
   std::uint64_t Version = 0;
 };
 
--- a/Services/Gateway/FleetTask.cpp
+++ b/Services/Gateway/FleetTask.cpp
@@ -28,6 +28,8 @@
 constexpr Duration PullTimeout = std::chrono::milliseconds{1200};
 // A change that was announced usually arrives by itself.
 constexpr Duration PullDelay = std::chrono::milliseconds{80};
+// How often a VM that lacks upstreams asks another one for a complete copy, which is large.
+constexpr Duration LackingInterval = std::chrono::seconds{1};
 constexpr std::size_t MaxCallerAddresses = 64;
 constexpr std::size_t BytesPerKb = 1024;
 constexpr double WeightPerCore = 1000;
@@ -200,7 +202,7 @@
                      [this, vm = *from](const std::exception_ptr &failure, bool hasSucceeded) {
                        Reads.didEnd(vm, !failure && hasSucceeded, bootTimeNow());
                      });
-    wait = PeerReads::Interval;
+    wait = isBehind ? PeerReads::Interval : LackingInterval;
   }
 }
 
